--- /dev/null
+++ b/command/ticket.go
@@ -0,0 +1,74 @@
+package command
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Ticket entitles its holder to one command. Only the process that minted it
+// runs the command, and only before Expires.
+type Ticket struct {
+	// Host is the id of the host that minted the ticket.
+	Host string `cbor:"1,keyasint"`
+	// Incarnation is the process on that host.
+	Incarnation string `cbor:"6,keyasint"`
+	// Service the ticket is for.
+	Service string `cbor:"2,keyasint"`
+	// Serial is unique in the process.
+	Serial uint64 `cbor:"3,keyasint"`
+	// ExpiresUnixMilli is on the wall clock, for the caller.
+	ExpiresUnixMilli int64 `cbor:"4,keyasint"`
+	// MAC proves that the process minted the ticket.
+	MAC []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// ErrBadTicket is returned for text that is no ticket.
+var ErrBadTicket = errors.New("ticket: not a ticket")
+
+// Expires returns when the ticket lapses.
+func (t Ticket) Expires() time.Time { return time.UnixMilli(t.ExpiresUnixMilli) }
+
+// String encodes the ticket for the wire.
+func (t Ticket) String() string {
+	b, err := cbor.Marshal(t)
+	if err != nil {
+		panic(err) // a struct of plain fields always encodes
+	}
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// maxTicketLength bounds the text that ParseTicket reads, in bytes.
+const maxTicketLength = 512
+
+// ParseTicket decodes a ticket without checking who minted it. The error is
+// ErrBadTicket.
+func ParseTicket(s string) (Ticket, error) {
+	var t Ticket
+	if len(s) > maxTicketLength {
+		return t, ErrBadTicket
+	}
+	b, err := base64.RawURLEncoding.DecodeString(s)
+	if err != nil {
+		return t, ErrBadTicket
+	}
+	if err := cbor.Unmarshal(b, &t); err != nil || t.Host == "" {
+		return Ticket{}, ErrBadTicket
+	}
+	return t, nil
+}
+
+func sign(key []byte, t Ticket) []byte {
+	t.MAC = nil
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte(t.String()))
+	return m.Sum(nil)
+}
+
+func genuine(key []byte, t Ticket) bool {
+	return hmac.Equal(t.MAC, sign(key, t))
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,79 @@
+// Package daemon wires a host together: control state, traffic, listeners
+// and their start and stop. cmd/figmastd is a thin main around it.
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/figmast/figmast/peer"
+)
+
+// Settings of a host, from flags and environment.
+type Settings struct {
+	Host         string        `arg:"--host,env:FIGMAST_HOST" help:"id of this host in the platform's host list"`
+	DataCentre   string        `arg:"--data-centre,env:FIGMAST_DATA_CENTRE" help:"data centre this host stands in"`
+	CallerListen string        `arg:"--caller-listen,env:FIGMAST_CALLER_LISTEN" default:"127.0.0.1:8080" help:"IP number and TCP port for callers"`
+	OpsListen    string        `arg:"--ops-listen,env:FIGMAST_OPS_LISTEN" default:"127.0.0.1:8081" help:"IP number and TCP port for health, metrics and operators"`
+	PeerListen   string        `arg:"--peer-listen,env:FIGMAST_PEER_LISTEN" default:"127.0.0.1:8082" help:"IP number and UDP port for other hosts"`
+	Platform     string        `arg:"--platform,env:FIGMAST_PLATFORM" help:"IP number and port of the platform"`
+	Certificate  string        `arg:"--certificate,env:FIGMAST_CERTIFICATE" help:"PEM text or file of this host's certificate"`
+	Key          string        `arg:"--key,env:FIGMAST_KEY" help:"PEM text or file of this host's key"`
+	Authorities  string        `arg:"--authorities,env:FIGMAST_AUTHORITIES" help:"PEM text or file of the authorities that peers' certificates must have"`
+	DrainWait    time.Duration `arg:"--drain-wait,env:FIGMAST_DRAIN_WAIT" default:"5s" help:"how long to stay open while the balancer takes this host out"`
+	DrainLimit   time.Duration `arg:"--drain-limit,env:FIGMAST_DRAIN_LIMIT" default:"30s" help:"how long running requests may take to finish"`
+	TicketLife   time.Duration `arg:"--ticket-lifetime,env:FIGMAST_TICKET_LIFETIME" default:"10m" help:"how long a ticket may be used"`
+	LogLevel     string        `arg:"--log-level,env:FIGMAST_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+}
+
+// Version is printed by --version.
+func (Settings) Version() string { return "figmastd 0.1.0" }
+
+// Description is printed by --help.
+func (Settings) Description() string {
+	return "figmastd is one host of the figmast query tier. Every flag can be set in the environment."
+}
+
+// Check returns every fault of the settings, joined, or nil.
+func (s Settings) Check() error {
+	var faults []error
+	missing := func(flag, v string) {
+		if v == "" {
+			faults = append(faults, fmt.Errorf("%s: missing", flag))
+		}
+	}
+	address := func(flag, v string) {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			faults = append(faults, fmt.Errorf("%s: %q is not an IP number and port", flag, v))
+		}
+	}
+	positive := func(flag string, d time.Duration) {
+		if d <= 0 {
+			faults = append(faults, fmt.Errorf("%s: %v is not above 0", flag, d))
+		}
+	}
+	missing("--host", s.Host)
+	missing("--data-centre", s.DataCentre)
+	address("--caller-listen", s.CallerListen)
+	address("--ops-listen", s.OpsListen)
+	address("--peer-listen", s.PeerListen)
+	address("--platform", s.Platform)
+	if s.DrainWait < 0 {
+		faults = append(faults, fmt.Errorf("--drain-wait: %v is below 0", s.DrainWait))
+	}
+	positive("--drain-limit", s.DrainLimit)
+	positive("--ticket-lifetime", s.TicketLife)
+	if _, err := parseLevel(s.LogLevel); err != nil {
+		faults = append(faults, err)
+	}
+	if _, err := s.credentials().Load(); err != nil {
+		faults = append(faults, err)
+	}
+	return errors.Join(faults...)
+}
+
+func (s Settings) credentials() peer.Source {
+	return peer.Source{Certificate: s.Certificate, Key: s.Key, Authorities: s.Authorities}
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,212 @@
+// Package e2e tests figmast as real processes over real sockets.
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/control"
+	"github.com/figmast/figmast/internal/certs"
+	"github.com/figmast/figmast/internal/fake"
+	"github.com/figmast/figmast/platform"
+)
+
+// patience bounds every wait of a test for real processes.
+const patience = 20 * time.Second
+
+// binaries is where TestMain builds the programs.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "figmast-e2e")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running program.
+type process struct {
+	cmd *exec.Cmd
+	log bytes.Buffer
+}
+
+func start(t *testing.T, env []string, name string, args ...string) *process {
+	t.Helper()
+	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...)}
+	p.cmd.Env = append(os.Environ(), env...)
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		if t.Failed() {
+			t.Logf("%s %v\n%s", name, args, p.log.String())
+		}
+	})
+	return p
+}
+
+// host is one figmastd process.
+type host struct {
+	*process
+	id      string
+	callers string
+	ops     string
+	peers   string
+}
+
+// fleet is a running set of processes.
+type fleet struct {
+	t         *testing.T
+	authority *certs.Authority
+	platform  string
+	hosts     []*host
+}
+
+// free returns an unused IP number and port on loopback.
+func free(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	is := is.New(t)
+	authority, err := certs.NewAuthority()
+	is.NoErr(err)
+	f := &fleet{t: t, authority: authority, platform: free(t, "127.0.0.1")}
+	start(t, nil, "figmast-fake", "platform", "--listen", f.platform)
+	waitFor(t, "the platform", func() bool { return dials(f.platform) })
+	return f
+}
+
+func dials(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// addHost starts a host on its own loopback address and lists it.
+func (f *fleet) addHost(ip, dataCentre string, extra ...string) *host {
+	f.t.Helper()
+	h := &host{id: "host-" + ip, callers: free(f.t, ip), ops: free(f.t, ip), peers: free(f.t, ip)}
+	pair, err := f.authority.Host(h.id, ip)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	env := []string{"FIGMAST_CERTIFICATE=" + pair.CertPEM, "FIGMAST_KEY=" + pair.KeyPEM, "FIGMAST_AUTHORITIES=" + f.authority.PEM}
+	args := []string{
+		"--host", h.id, "--data-centre", dataCentre, "--platform", f.platform,
+		"--caller-listen", h.callers, "--ops-listen", h.ops, "--peer-listen", h.peers, "--drain-wait", "100ms",
+	}
+	h.process = start(f.t, env, "figmastd", append(args, extra...)...)
+	entry, err := json.Marshal(control.HostEntry{Address: h.peers, DataCentre: dataCentre})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.publish(platform.PrefixHosts+h.id, entry)
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// publish puts a value at the platform, as an operator would.
+func (f *fleet) publish(key string, value []byte) {
+	f.t.Helper()
+	body, err := json.Marshal(fake.PutRequest{Key: []byte(key), Value: value})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.Post("http://"+f.platform+fake.PathPut, "application/json", bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	for _, h := range f.hosts {
+		waitFor(f.t, h.id+" to be ready", func() bool {
+			resp, err := http.Get("http://" + h.ops + "/readyz")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// waitFor polls until the condition holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("gave up waiting for %s", what)
+}
+
+// post sends a JSON body and decodes the JSON answer.
+func post(t *testing.T, url string, body, answer any) int {
+	t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.Post(url, "application/json", bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	return resp.StatusCode
+}
+
+// backendAddress splits ID=IP:PORT.
+func backendAddress(spec string) string {
+	_, address, _ := strings.Cut(spec, "=")
+	return address
+}
--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,199 @@
+// Package fake holds small stand-ins for the outside systems: the platform
+// and backend servers. They serve the published protocols over real HTTP.
+package fake
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sort"
+	"sync"
+
+	"github.com/figmast/figmast/platform"
+)
+
+// Paths by which operators publish at the stand-in platform.
+const (
+	PathPut    = "/v3/kv/put"
+	PathDelete = "/v3/kv/deleterange"
+)
+
+// PutRequest publishes a value.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// DeleteRequest removes a key.
+type DeleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+// Platform is a stand-in for the configuration service and the host list.
+type Platform struct {
+	mu       sync.Mutex
+	revision int64
+	values   map[string]platform.KeyValue
+	history  []platform.Event
+	changed  chan struct{}
+	calls    int64
+	down     bool
+}
+
+// NewPlatform returns an empty platform at revision 1.
+func NewPlatform() *Platform {
+	return &Platform{revision: 1, values: make(map[string]platform.KeyValue), changed: make(chan struct{})}
+}
+
+// Put publishes a value and returns its revision.
+func (p *Platform) Put(key string, value []byte) int64 {
+	return p.change(platform.Event{Type: "PUT", Kv: platform.KeyValue{Key: []byte(key), Value: value}})
+}
+
+// Delete removes a key and returns the revision.
+func (p *Platform) Delete(key string) int64 {
+	return p.change(platform.Event{Type: platform.EventDelete, Kv: platform.KeyValue{Key: []byte(key)}})
+}
+
+func (p *Platform) change(e platform.Event) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	e.Kv.ModRevision = platform.Int64(p.revision)
+	p.history = append(p.history, e)
+	if e.Type == platform.EventDelete {
+		delete(p.values, string(e.Kv.Key))
+	} else {
+		p.values[string(e.Kv.Key)] = e.Kv
+	}
+	p.wake()
+	return p.revision
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetDown makes every call fail, and breaks watches, until it is up again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// Calls returns how many calls have arrived; a watch counts as one.
+func (p *Platform) Calls() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls
+}
+
+// ServeHTTP serves the platform's protocol.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.calls++
+	down := p.down
+	p.mu.Unlock()
+	if down {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case platform.PathRange:
+		serve(w, r, p.readRange)
+	case platform.PathWatch:
+		p.watch(w, r)
+	case PathPut:
+		serve(w, r, func(q PutRequest) any { return header(p.Put(string(q.Key), q.Value)) })
+	case PathDelete:
+		serve(w, r, func(q DeleteRequest) any { return header(p.Delete(string(q.Key))) })
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func header(revision int64) platform.RangeResponse {
+	return platform.RangeResponse{Header: platform.Header{Revision: platform.Int64(revision)}}
+}
+
+func serve[T any](w http.ResponseWriter, r *http.Request, f func(T) any) {
+	var req T
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(f(req))
+}
+
+func (p *Platform) readRange(q platform.RangeRequest) any {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := header(p.revision)
+	for key, kv := range p.values {
+		if !within([]byte(key), q.Key, q.RangeEnd) {
+			continue
+		}
+		out.Count++
+		if !q.CountOnly {
+			out.Kvs = append(out.Kvs, kv)
+		}
+	}
+	sort.Slice(out.Kvs, func(i, j int) bool { return bytes.Compare(out.Kvs[i].Key, out.Kvs[j].Key) < 0 })
+	return out
+}
+
+func within(key, from, to []byte) bool {
+	if len(to) == 0 {
+		return bytes.Equal(key, from)
+	}
+	return bytes.Compare(key, from) >= 0 && bytes.Compare(key, to) < 0
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	var req platform.WatchRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	q := req.CreateRequest
+	out := http.NewResponseController(w)
+	lines := json.NewEncoder(w)
+	w.Header().Set("Content-Type", "application/json")
+	created := true
+	for next := int64(q.StartRevision); ; {
+		events, revision, changed, down := p.since(next, q)
+		if down {
+			return
+		}
+		if created || len(events) > 0 {
+			res := platform.WatchResult{Header: platform.Header{Revision: platform.Int64(revision)}, Created: created, Events: events}
+			if lines.Encode(platform.WatchResponse{Result: res}) != nil || out.Flush() != nil {
+				return
+			}
+		}
+		created = false
+		next = revision + 1
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the watched changes from a revision on, the newest revision,
+// and a channel that is closed at the next change.
+func (p *Platform) since(from int64, q platform.WatchCreate) ([]platform.Event, int64, <-chan struct{}, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var events []platform.Event
+	for _, e := range p.history {
+		if int64(e.Kv.ModRevision) >= from && within(e.Kv.Key, q.Key, q.RangeEnd) {
+			events = append(events, e)
+		}
+	}
+	return events, p.revision, p.changed, p.down
+}
--- /dev/null
+++ b/internal/purity/purity_test.go
@@ -0,0 +1,115 @@
+// Package purity checks that the packages that hold decisions do no I/O,
+// start no goroutines and read neither the clock nor global randomness.
+package purity
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// pure lists the packages that hold decisions.
+var pure = []string{"command", "control", "document", "leafcall", "policy", "query", "view"}
+
+// forbidden imports, whole; a name with a dot forbids one function.
+var forbidden = []string{
+	"net", "net/http/httptest", "os", "os/exec", "os/signal", "syscall", "sync", "sync/atomic", "context",
+	"crypto/rand", "math/rand", "github.com/quic-go/quic-go", "golang.org/x/sys/unix",
+}
+
+// clockCalls of package time are not for decisions.
+var clockCalls = map[string]bool{
+	"Now": true, "Since": true, "Until": true, "Sleep": true, "After": true, "AfterFunc": true,
+	"NewTimer": true, "NewTicker": true, "Tick": true,
+}
+
+// seeded functions of math/rand/v2 do not use the global source.
+var seeded = map[string]bool{"New": true, "NewPCG": true, "NewChaCha8": true, "NewZipf": true, "Rand": true, "Source": true}
+
+func TestDecisionsAreSansIO(t *testing.T) {
+	for _, dir := range pure {
+		files, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: no files (%v)", dir, err)
+		}
+		for _, name := range files {
+			if !strings.HasSuffix(name, "_test.go") {
+				checkFile(t, name)
+			}
+		}
+	}
+}
+
+func checkFile(t *testing.T, name string) {
+	t.Helper()
+	set := token.NewFileSet()
+	f, err := parser.ParseFile(set, name, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, spec := range f.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, bad := range forbidden {
+			if path == bad {
+				t.Errorf("%s: imports %s", set.Position(spec.Pos()), path)
+			}
+		}
+	}
+	ast.Inspect(f, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			t.Errorf("%s: starts a goroutine", set.Position(n.Pos()))
+		case *ast.SelectorExpr:
+			checkCall(t, set, n)
+		}
+		return true
+	})
+}
+
+func checkCall(t *testing.T, set *token.FileSet, n *ast.SelectorExpr) {
+	t.Helper()
+	pkg, ok := n.X.(*ast.Ident)
+	if !ok {
+		return
+	}
+	if pkg.Name == "time" && clockCalls[n.Sel.Name] {
+		t.Errorf("%s: reads the clock by time.%s", set.Position(n.Pos()), n.Sel.Name)
+	}
+	if pkg.Name == "rand" && pkg.Obj == nil && !seeded[n.Sel.Name] {
+		t.Errorf("%s: uses the global random source by rand.%s", set.Position(n.Pos()), n.Sel.Name)
+	}
+}
+
+// TestEveryPackageHasADocComment keeps package comments from being forgotten.
+func TestEveryPackageHasADocComment(t *testing.T) {
+	root := filepath.Join("..", "..")
+	documented := make(map[string]bool)
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.PackageClauseOnly|parser.ParseComments)
+		if err != nil {
+			return err
+		}
+		dir := filepath.Dir(path)
+		documented[dir] = documented[dir] || f.Doc != nil
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for dir, ok := range documented {
+		if !ok {
+			t.Errorf("%s: no package comment", dir)
+		}
+	}
+}
--- /dev/null
+++ b/view/view.go
@@ -0,0 +1,64 @@
+// Package view holds the immutable picture of the fleet that control state
+// publishes and traffic reads: hosts, documents and how long the picture may
+// be acted on. It does no I/O.
+package view
+
+import (
+	"time"
+
+	"github.com/figmast/figmast/document"
+)
+
+// Host is one process of the query tier.
+type Host struct {
+	// ID is unique in the fleet; a replaced host has another one.
+	ID string
+	// Address is the IP number and port where peers reach the host.
+	Address string
+	// DataCentre the host stands in.
+	DataCentre string
+	// Leaving hosts finish their requests and take no new ones.
+	Leaving bool
+}
+
+// View is one published picture. It and all it points to never change.
+type View struct {
+	// Self is the host that holds the view.
+	Self Host
+	// Hosts are all known hosts, Self included, sorted by ID.
+	Hosts []Host
+	// Services are the documents in force, by service name.
+	Services map[string]*document.Service
+	// Confirmed is when the platform is known to have held this picture as
+	// its newest, on the host's clock.
+	Confirmed time.Time
+	// ValidUntil bounds the time in which work may be dispatched on this
+	// view. A process that slept past it must get a newer view first.
+	ValidUntil time.Time
+}
+
+// Valid reports whether work may be dispatched on the view at that time.
+func (v *View) Valid(now time.Time) bool {
+	return v != nil && now.Before(v.ValidUntil)
+}
+
+// Host returns the host with that id.
+func (v *View) Host(id string) (Host, bool) {
+	for _, h := range v.Hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return Host{}, false
+}
+
+// Live returns how many hosts are not leaving, at least 1.
+func (v *View) Live() int {
+	n := 0
+	for _, h := range v.Hosts {
+		if !h.Leaving {
+			n++
+		}
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,84 @@
+// Package wire holds the messages between hosts and their encoding, CBOR.
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	figmast "github.com/figmast/figmast"
+)
+
+// Version of the messages. A host refuses messages of another major version.
+const Version = 1
+
+// MaxBytes is the largest message that is read: a document and its frame.
+const MaxBytes = 1<<20 + 64<<10
+
+// Message is one message; exactly one body is set.
+type Message struct {
+	Version uint8 `cbor:"1,keyasint"`
+	// Forward asks the host that minted a command's ticket to run it.
+	Forward *Forward `cbor:"2,keyasint,omitempty"`
+	// Outcome answers a Forward.
+	Outcome *Outcome `cbor:"3,keyasint,omitempty"`
+	// Failure answers anything that could not be served.
+	Failure *Failure `cbor:"4,keyasint,omitempty"`
+}
+
+// Forward is a command on its way to the host that minted its ticket.
+type Forward struct {
+	RequestID string                 `cbor:"1,keyasint"`
+	Service   string                 `cbor:"2,keyasint"`
+	Command   figmast.CommandRequest `cbor:"3,keyasint"`
+	// LeftMs is the time left for the command in milliseconds.
+	LeftMs int64 `cbor:"4,keyasint"`
+}
+
+// Outcome is what became of a forwarded command: one of the two is set.
+type Outcome struct {
+	Answer  *figmast.CommandAnswer `cbor:"1,keyasint,omitempty"`
+	Problem *figmast.Problem       `cbor:"2,keyasint,omitempty"`
+}
+
+// Failure tells why a message could not be served.
+type Failure struct {
+	Step   string `cbor:"1,keyasint"`
+	Detail string `cbor:"2,keyasint"`
+}
+
+// Encode returns the message in CBOR.
+func Encode(m *Message) ([]byte, error) {
+	m.Version = Version
+	return cbor.Marshal(m)
+}
+
+// decoding refuses unknown fields, repeated keys and deep nesting.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 12,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // constant options
+	}
+	return mode
+}()
+
+// Decode reads a message and checks its version.
+func Decode(b []byte) (*Message, error) {
+	if len(b) > MaxBytes {
+		return nil, fmt.Errorf("message: %d bytes, at most %d", len(b), MaxBytes)
+	}
+	var m Message
+	if err := decoding.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("message: %w", err)
+	}
+	if m.Version != Version {
+		return nil, fmt.Errorf("message: version %d, not %d", m.Version, Version)
+	}
+	return &m, nil
+}
