--- a/command/engine.go
+++ b/command/engine.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/decision"
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
@@ -43,6 +44,8 @@
 	Send    []leafcall.Send
 	Forward []Forward
 	Finish  []Finish
+	// Decisions tell operators what was decided and why.
+	Decisions []decision.Decision
 }
 
 // Forward hands a command to the host that minted its ticket.
--- a/leafcall/leafcall.go
+++ b/leafcall/leafcall.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/figmast/figmast/policy"
+	"github.com/figmast/figmast/view"
 )
 
 // ID names one attempt; a host never uses one twice.
@@ -14,8 +15,11 @@
 
 // Send asks the carrier to make one call.
 type Send struct {
-	ID        ID
-	Server    *policy.Server
+	ID     ID
+	Server *policy.Server
+	// Via is the host that holds the connections to Server; the zero Host
+	// means this one.
+	Via       view.Host
 	RequestID string
 	Operation string
 	// Snapshot to answer from; empty for a command.
--- a/policy/router.go
+++ b/policy/router.go
@@ -271,3 +271,21 @@
 	}
 	return out
 }
+
+// Holder returns the host that holds the connections to srv: the zero Host
+// where this host does.
+func (r *Router) Holder(srv *Server) view.Host { return view.Host{} }
+
+// Suspicion is what hosts tell each other of a request that crashes backend
+// servers.
+type Suspicion struct {
+	Service     string    `cbor:"1,keyasint"`
+	Fingerprint uint64    `cbor:"2,keyasint"`
+	Until       time.Time `cbor:"3,keyasint"`
+}
+
+// NewSuspicions returns what this host has found since the last call.
+func (r *Router) NewSuspicions() []Suspicion { return nil }
+
+// Learn takes in a peer's suspicion.
+func (r *Router) Learn(now time.Time, s Suspicion) {}
--- a/query/engine.go
+++ b/query/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/decision"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 )
@@ -33,6 +34,8 @@
 	Send   []leafcall.Send
 	Cancel []leafcall.Cancel
 	Finish []Finish
+	// Decisions tell operators what was decided and why.
+	Decisions []decision.Decision
 }
 
 // Finish hands a run's final answer to its caller: Answer or Problem is set.
@@ -128,6 +131,7 @@
 	a.Send = append(a.Send, b.Send...)
 	a.Cancel = append(a.Cancel, b.Cancel...)
 	a.Finish = append(a.Finish, b.Finish...)
+	a.Decisions = append(a.Decisions, b.Decisions...)
 }
 
 func observe(now time.Time, a *attempt, res leafcall.Result) policy.Observation {
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -76,6 +76,20 @@
 	r.opts.Carrier.Apply(shares)
 }
 
+// NewSuspicions returns the crash suspects found since the last call.
+func (r *Runner) NewSuspicions() []policy.Suspicion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.Router.NewSuspicions()
+}
+
+// Learn takes in a peer's crash suspect.
+func (r *Runner) Learn(s policy.Suspicion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Router.Learn(r.opts.Clock(), s)
+}
+
 // Query runs a query to its end. It returns an answer or a problem; both are
 // nil when ctx ended first.
 func (r *Runner) Query(ctx context.Context, req query.Request) (*figmast.QueryAnswer, *figmast.Problem) {
