--- a/bench/bench.go
+++ b/bench/bench.go
@@ -100,7 +100,8 @@
 	host   *host
 	sentAt time.Duration
 	resent bool
-	ran    bool
+	sent   bool // a call of it reached a backend server
+	ran    bool // and was taken by it
 	poison bool
 }
 
@@ -180,7 +181,7 @@
 		w.bucket(w.now).calls++
 	}
 	if r := w.open[c.send.RequestID]; r != nil {
-		r.ran = true
+		r.sent = true
 	}
 	if c.server.out > 0 && w.now >= c.server.out {
 		w.result.LateCalls++
@@ -197,7 +198,7 @@
 	if f.Problem.Outcome == figmast.NotRun && r.ran {
 		w.result.Untrue++
 	}
-	if r.ran {
+	if r.sent {
 		w.result.needed += len(w.docs[r.Service].Leaves)
 	}
 	if f.Problem.Detail == "stale_view" && !r.resent {
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -24,3 +24,13 @@
 		})
 	}
 }
+
+// The same seed gives the same figures, whatever the order of maps.
+func TestDeterminism(t *testing.T) {
+	is := is.New(t)
+	c := quick(Figmast, Move, Stragglers)
+	first := Run(c)
+	for range 2 {
+		is.Equal(Run(c), first)
+	}
+}
--- a/bench/server.go
+++ b/bench/server.go
@@ -59,6 +59,7 @@
 	server  *server
 	way     time.Duration // one way from the host to the server
 	arrived time.Duration
+	body    []byte
 	held    bool // it has a connection
 	closed  bool // the host has its result
 }
@@ -74,7 +75,10 @@
 	case len(s.queue) >= longestQueue:
 		s.reply(c, leafcall.Result{Status: leafcall.Shed, Sent: true, RetryAfter: serviceTime})
 	default:
-		c.arrived = w.now
+		c.arrived, c.body = w.now, s.snapshots[c.send.Snapshot]
+		if r := w.open[c.send.RequestID]; r != nil {
+			r.ran = true
+		}
 		s.queue = append(s.queue, c)
 		s.checkCold()
 		s.next()
@@ -144,7 +148,7 @@
 	}
 	s.reply(c, leafcall.Result{
 		Status: leafcall.OK, Sent: true, Snapshot: c.send.Snapshot,
-		Body: s.snapshots[c.send.Snapshot], Cold: s.saysCold(),
+		Body: c.body, Cold: s.saysCold(),
 	})
 	s.next()
 }
--- a/query/engine.go
+++ b/query/engine.go
@@ -1,6 +1,10 @@
 // Package query decides how queries are scattered over leaves and gathered
 // again: it is a state machine that gets events and the time and gives back
 // actions. It does no I/O, starts no goroutines and reads no clock.
+//
+// A query waits in its service's queue until the service can take it, is
+// pinned to one snapshot, sends one call to each leaf and gathers the parts.
+// A part whose leaf has no free connection waits in the leaf's queue.
 package query
 
 import (
@@ -34,7 +38,8 @@
 	Send   []leafcall.Send
 	Cancel []leafcall.Cancel
 	Finish []Finish
-	// Decisions tell operators what was decided and why.
+	// Decisions tell operators what was decided and why. Ordinary first
+	// attempts are not among them.
 	Decisions []decision.Decision
 }
 
@@ -45,27 +50,42 @@
 	Problem *figmast.Problem
 }
 
+// DefaultMaxCalls bounds the leaf calls of a host that are in progress.
+const DefaultMaxCalls = 16_384
+
 // Options configure an Engine.
 type Options struct {
 	Router *policy.Router
 	// NextCall returns call ids that the whole host uses once.
 	NextCall func() leafcall.ID
+	// MaxCalls bounds the leaf calls in progress; 0 means DefaultMaxCalls.
+	// At the bound, services take turns by deficit round robin.
+	MaxCalls int
 }
 
 // Engine drives all queries of a host. It is not safe for concurrent use.
 type Engine struct {
-	opts  Options
-	last  RunID
-	runs  map[RunID]*run
-	calls map[leafcall.ID]*attempt
+	opts     Options
+	out      Actions
+	last     RunID
+	runs     map[RunID]*run
+	calls    map[leafcall.ID]*attempt
+	timers   timers
+	services map[string]*service
+	fair     turns
+	queued   int // bytes of payload in queues
 }
 
 // NewEngine returns an Engine without runs.
 func NewEngine(opts Options) *Engine {
+	if opts.MaxCalls == 0 {
+		opts.MaxCalls = DefaultMaxCalls
+	}
 	return &Engine{
-		opts:  opts,
-		runs:  make(map[RunID]*run),
-		calls: make(map[leafcall.ID]*attempt),
+		opts:     opts,
+		runs:     make(map[RunID]*run),
+		calls:    make(map[leafcall.ID]*attempt),
+		services: make(map[string]*service),
 	}
 }
 
@@ -74,11 +94,12 @@
 	e.last++
 	r := newRun(e, e.last, req)
 	e.runs[r.id] = r
-	r.start(now)
-	return r.id, r.take()
+	e.admit(now, r)
+	return r.id, e.take()
 }
 
-// Reply hands in how a call ended. Unknown and late calls are ignored.
+// Reply hands in how a call ended. Unknown and late calls are ignored, but
+// the Router learns of every call that this engine began.
 func (e *Engine) Reply(now time.Time, id leafcall.ID, res leafcall.Result) Actions {
 	a := e.calls[id]
 	if a == nil {
@@ -86,11 +107,12 @@
 	}
 	delete(e.calls, id)
 	e.opts.Router.Done(now, a.server, observe(now, a, res))
-	if a.run.done {
-		return Actions{}
+	if !a.run.done {
+		a.run.reply(now, a, res)
 	}
-	a.run.reply(now, a, res)
-	return a.run.take()
+	a.queue.serve(now)
+	e.pump(now, a.run.service)
+	return e.take()
 }
 
 // Abandon ends a run whose caller has gone away.
@@ -99,39 +121,48 @@
 	if r == nil {
 		return Actions{}
 	}
+	e.decide(r, decision.GaveUp, nil, "the caller went away")
 	r.close()
-	return r.take()
+	e.pump(now, r.service)
+	return e.take()
 }
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) Actions {
-	var all Actions
-	for _, r := range e.runs {
+	for len(e.timers) > 0 && !now.Before(e.timers[0].wake) {
+		r := e.timers[0]
 		r.tick(now)
-		all.add(r.take())
+		e.pump(now, r.service)
 	}
-	return all
+	return e.take()
 }
 
 // Next returns when Tick has something to do.
 func (e *Engine) Next() (time.Time, bool) {
-	var next time.Time
-	for _, r := range e.runs {
-		if t := r.next(); next.IsZero() || t.Before(next) {
-			next = t
-		}
+	if len(e.timers) == 0 {
+		return time.Time{}, false
 	}
-	return next, !next.IsZero()
+	return e.timers[0].wake, true
 }
 
-// Running returns how many queries are in progress.
+// Running returns how many queries are in progress, queued ones included.
 func (e *Engine) Running() int { return len(e.runs) }
 
-func (a *Actions) add(b Actions) {
-	a.Send = append(a.Send, b.Send...)
-	a.Cancel = append(a.Cancel, b.Cancel...)
-	a.Finish = append(a.Finish, b.Finish...)
-	a.Decisions = append(a.Decisions, b.Decisions...)
+func (e *Engine) take() Actions {
+	out := e.out
+	e.out = Actions{}
+	return out
+}
+
+func (e *Engine) decide(r *run, kind decision.Kind, p *part, reason string) {
+	d := decision.Decision{Request: r.req.ID, Service: r.req.Service, Kind: kind, Reason: reason}
+	if p != nil {
+		d.Leaf = p.leaf
+		if n := len(p.tried); n > 0 {
+			d.Server = p.tried[n-1].ID
+		}
+	}
+	e.out.Decisions = append(e.out.Decisions, d)
 }
 
 func observe(now time.Time, a *attempt, res leafcall.Result) policy.Observation {
--- a/query/run.go
+++ b/query/run.go
@@ -1,287 +1,214 @@
 package query
 
 import (
-	"encoding/json"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/decision"
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 )
 
-// run is one query in progress.
+// run is one query, queued or in progress.
 type run struct {
 	engine      *Engine
+	service     *service
 	id          RunID
 	req         Request
 	fingerprint uint64
 	doc         *document.Service
 	// snapshot is the only one that parts of the answer may come from.
 	snapshot *document.Snapshot
-	parts    []*part
-	started  time.Time
+	parts    []part
+	// open are the parts that may still come, in no particular order.
+	open []*part
+	// got and lost of the total weight have come and will not come.
+	got, lost, total uint64
+	// unsure counts calls that a backend server may have run.
+	unsure   int
+	restarts int
+	arrived  time.Time
+	began    time.Time
 	// patience is when the query may answer with less than everything; zero
-	// once that moment has passed or where the document sets none.
+	// where the document sets none.
 	patience time.Time
+	// wake is when the run wants a tick, and timer its index in the heap.
+	wake  time.Time
+	timer int
+	// place is the index in the service's queue.
+	place    int
+	hold     time.Time
+	admitted bool
 	done     bool
-	out      Actions
-}
-
-// part is one leaf's share of a query.
-type part struct {
-	leaf    string
-	weight  uint64
-	result  json.RawMessage
-	have    bool
-	tries   int
-	tried   []*policy.Server
-	running []*attempt
-	hedgeAt time.Time
-	// failed is why the part will stay missing.
-	failed string
-}
-
-// attempt is one call to one backend server.
-type attempt struct {
-	run    *run
-	part   *part
-	id     leafcall.ID
-	server *policy.Server
-	sent   time.Time
 }
 
 func newRun(e *Engine, id RunID, req Request) *run {
 	h := xxhash.New()
-	_, _ = h.WriteString(req.Service + "\x00" + req.Operation + "\x00")
+	_, _ = h.WriteString(req.Service)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(req.Operation)
+	_, _ = h.Write([]byte{0})
 	_, _ = h.Write(req.Payload)
-	return &run{engine: e, id: id, req: req, fingerprint: h.Sum64()}
+	return &run{engine: e, id: id, req: req, fingerprint: h.Sum64(), timer: noTimer, place: noPlace}
 }
 
-func (r *run) take() Actions {
-	out := r.out
-	r.out = Actions{}
-	return out
-}
-
-func (r *run) start(now time.Time) {
-	r.started = now
+// begin starts an admitted run.
+func (r *run) begin(now time.Time) {
 	v := r.engine.opts.Router.View()
 	if !v.Valid(now) {
-		r.refuse(now, 503, "the configuration view is stale", "admit", policy.StaleView)
+		r.refuse(now, "the configuration view is stale", "admit", policy.StaleView)
 		return
 	}
-	r.doc = v.Services[r.req.Service]
-	if r.doc == nil {
-		r.refuse(now, 404, "unknown service", "admit", policy.NoSuchServer)
-		return
+	if doc := v.Services[r.req.Service]; doc != nil {
+		r.doc = doc
 	}
+	r.began = now
+	r.admitted = true
+	r.service.running++
 	if wait := r.doc.StopWork.Patience.Std(); wait > 0 {
 		r.patience = now.Add(wait)
 	}
-	r.pin(now, &r.doc.Snapshots[len(r.doc.Snapshots)-1])
+	r.engine.decide(r, decision.Admitted, nil, string(r.req.Urgency))
+	r.pin(now, r.service.choose(now, r.doc))
 }
 
-// pin starts the query on a snapshot.
+// pin starts the query on a snapshot, from nothing.
 func (r *run) pin(now time.Time, s *document.Snapshot) {
 	r.snapshot = s
-	r.parts = nil
-	for _, w := range s.Weights {
-		if w.Weight == 0 {
-			continue
+	r.engine.decide(r, decision.Pinned, nil, s.ID)
+	r.scatter(s)
+	for i := range r.parts {
+		if r.done || r.snapshot != s {
+			return
 		}
-		p := &part{leaf: w.Leaf, weight: w.Weight}
-		r.parts = append(r.parts, p)
-	}
-	for _, p := range r.parts {
-		r.try(now, p, false)
+		r.parts[i].start(now)
 	}
 	r.settle(now)
+	r.rest(now)
 }
 
-// try starts one more attempt for the part, or marks the part as failed when
-// none is running either.
-func (r *run) try(now time.Time, p *part, hedge bool) {
-	router := r.engine.opts.Router
-	pick := policy.Pick{
-		Service: r.req.Service, Leaf: p.leaf, Tried: p.tried,
-		Fingerprint: r.fingerprint, Hedge: hedge,
-	}
-	srv, reason := router.Pick(now, pick)
-	if srv == nil {
-		if len(p.running) == 0 {
-			p.failed = string(reason)
+func (r *run) scatter(s *document.Snapshot) {
+	r.parts = make([]part, 0, len(s.Weights))
+	r.got, r.lost, r.total = 0, 0, 0
+	for _, w := range s.Weights {
+		if w.Weight == 0 {
+			continue
 		}
-		return
+		r.total += w.Weight
+		r.parts = append(r.parts, part{run: r, leaf: w.Leaf, weight: w.Weight, queue: r.service.leaf(w.Leaf), place: noPlace})
+	}
+	r.open = make([]*part, len(r.parts))
+	for i := range r.parts {
+		p := &r.parts[i]
+		p.tried = p.triedRoom[:0]
+		p.tried = p.queue.without(p.tried, s.ID)
+		p.index = i
+		r.open[i] = p
 	}
-	router.Begin(now, srv)
-	a := &attempt{run: r, part: p, id: r.engine.opts.NextCall(), server: srv, sent: now}
-	p.tries++
-	p.tried = append(p.tried, srv)
-	p.running = append(p.running, a)
-	p.hedgeAt = now.Add(router.HedgeDelay(r.req.Service, p.leaf))
-	r.engine.calls[a.id] = a
-	r.out.Send = append(r.out.Send, leafcall.Send{
-		ID: a.id, Server: srv, RequestID: r.req.ID, Operation: r.req.Operation,
-		Snapshot: r.snapshot.ID, Payload: r.req.Payload, Deadline: r.req.Deadline,
-	})
 }
 
 func (r *run) reply(now time.Time, a *attempt, res leafcall.Result) {
+	if res.NotRun() {
+		r.unsure--
+	}
+	if res.Status == leafcall.SnapshotGone {
+		a.queue.lacks(now, a.server, a.snapshot)
+	}
 	p := a.part
-	p.running = without(p.running, a)
-	if p.have {
+	if !p.ended(a) {
 		return
 	}
-	switch {
-	case res.Status == leafcall.OK && res.Snapshot == r.snapshot.ID:
-		p.have = true
-		p.result = res.Body
-		r.cancel(p)
-	case r.mayRetry(now, p):
-		r.try(now, p, false)
-	case len(p.running) == 0:
-		p.failed = failure(res)
-	}
+	p.reply(now, res)
 	r.settle(now)
-}
-
-func (r *run) mayRetry(now time.Time, p *part) bool {
-	if len(p.running) > 0 || p.tries >= r.doc.Retries.Attempts {
-		return false
+	if !r.done && len(r.open) <= r.stragglers() {
+		r.hedgeOverdue(now)
 	}
-	return r.engine.opts.Router.SpendRetry(now, r.req.Service)
 }
 
-func failure(res leafcall.Result) string {
-	switch res.Status {
-	case leafcall.Shed:
-		return "shed"
-	case leafcall.SnapshotGone:
-		return "snapshot_gone"
-	case leafcall.Timeout:
-		return "timeout"
-	case leafcall.OK, leafcall.Mismatch:
-		return "other_snapshot"
-	default:
-		return "failed"
-	}
-}
-
-// settle finishes the run when nothing more is to come, or when what is there
-// is enough.
+// settle finishes the run when nothing more is to come, when what is there
+// is enough, or when what may still come is too little.
 func (r *run) settle(now time.Time) {
 	if r.done {
 		return
 	}
-	waiting := 0
-	for _, p := range r.parts {
-		if !p.have && p.failed == "" {
-			waiting++
-		}
-	}
-	enough := r.impatient(now) && r.coverage() >= r.doc.StopWork.Coverage
-	if waiting == 0 || enough || !now.Before(r.req.Deadline) {
+	patient := r.patience.IsZero() || now.Before(r.patience)
+	enough := !patient && floorShare(r.got, r.total) >= r.doc.StopWork.Coverage
+	hopeless := floorShare(r.total-r.lost, r.total) < r.doc.LeastCoverage
+	if len(r.open) == 0 || enough || hopeless || !now.Before(r.req.Deadline) {
 		r.finish(now)
 	}
 }
 
-// impatient reports whether less than everything will do.
-func (r *run) impatient(now time.Time) bool {
-	wait := r.doc.StopWork.Patience.Std()
-	return wait > 0 && now.Sub(r.started) >= wait
-}
-
 func (r *run) finish(now time.Time) {
-	cov := r.coverage()
+	cov := floorShare(r.got, r.total)
 	if cov < r.doc.LeastCoverage {
-		r.refuse(now, 503, "too little of the snapshot answered", "gather", r.firstFailure())
+		r.refuse(now, "too little of the snapshot answered", "gather", r.firstFailure())
 		return
 	}
 	ans := &figmast.QueryAnswer{
 		RequestID: r.req.ID, Service: r.req.Service, Snapshot: r.snapshot.ID,
 		PartitionMap: r.snapshot.PartitionMap, Coverage: cov, DocumentVersion: r.doc.Version,
 	}
-	for _, p := range r.parts {
+	ans.Results = make([]figmast.LeafResult, 0, len(r.parts))
+	for i := range r.parts {
+		p := &r.parts[i]
 		if p.have {
 			ans.Results = append(ans.Results, figmast.LeafResult{Leaf: p.leaf, Result: p.result})
 			continue
 		}
 		ans.Missing = append(ans.Missing, figmast.MissingLeaf{Leaf: p.leaf, Reason: p.reason()})
 	}
-	r.out.Finish = append(r.out.Finish, Finish{Run: r.id, Answer: ans})
-	r.close()
-}
-
-func (p *part) reason() string {
-	if p.failed == "" {
-		return "deadline"
+	r.service.observe(now, now.Sub(r.began))
+	reason := "complete"
+	if len(ans.Missing) > 0 {
+		reason = "partial: " + ans.Missing[0].Reason
 	}
-	return p.failed
+	r.engine.decide(r, decision.Answered, nil, reason)
+	r.engine.out.Finish = append(r.engine.out.Finish, Finish{Run: r.id, Answer: ans})
+	r.close()
 }
 
 func (r *run) firstFailure() policy.Reason {
-	for _, p := range r.parts {
-		if !p.have {
-			return policy.Reason(p.reason())
-		}
-	}
-	return policy.Picked
-}
-
-// coverageSteps is how many steps a reported coverage is rounded down to.
-const coverageSteps = 10_000
-
-func (r *run) coverage() float64 {
-	var got, total uint64
-	for _, p := range r.parts {
-		total += p.weight
-		if p.have {
-			got += p.weight
+	for i := range r.parts {
+		if p := &r.parts[i]; !p.have && p.failed != "" {
+			return policy.Reason(p.failed)
 		}
 	}
-	if total == 0 {
-		return 0
-	}
-	return floorShare(got, total)
+	return deadline
 }
 
-// floorShare returns got/total rounded down to coverageSteps.
-func floorShare(got, total uint64) float64 {
-	if got >= total {
-		return 1
-	}
-	steps := uint64(float64(got) / float64(total) * coverageSteps)
-	for steps > 0 && !reaches(got, total, steps) {
-		steps--
-	}
-	return float64(steps) / coverageSteps
-}
-
-func (r *run) refuse(now time.Time, status int, title, step string, reason policy.Reason) {
-	wait := r.engine.opts.Router.Backoff(now, r.req.Service, reason)
-	if status < 500 {
-		wait = 0
+// refuse ends the run without an answer. Statuses below 500 say that coming
+// back does not help.
+func (r *run) refuse(now time.Time, title, step string, reason policy.Reason) {
+	status := http.StatusServiceUnavailable
+	if reason == policy.NoSuchServer {
+		status = http.StatusNotFound
 	}
 	p := &figmast.Problem{
 		Type: "about:blank", Title: title, Status: status, Detail: string(reason),
-		RequestID: r.req.ID, Step: step, Outcome: r.outcome(), RetryAfterMs: wait.Milliseconds(),
+		RequestID: r.req.ID, Step: step, Outcome: r.outcome(), Coverage: floorShare(r.got, r.total),
 	}
-	if r.snapshot != nil {
-		p.Coverage = r.coverage()
+	if status >= http.StatusInternalServerError {
+		p.RetryAfterMs = r.comeBack(now, reason).Milliseconds()
 	}
-	r.out.Finish = append(r.out.Finish, Finish{Run: r.id, Problem: p})
+	kind := decision.Refused
+	if r.admitted {
+		kind = decision.GaveUp
+	}
+	r.engine.decide(r, kind, nil, string(reason))
+	r.engine.out.Finish = append(r.engine.out.Finish, Finish{Run: r.id, Problem: p})
 	r.close()
 }
 
-// outcome of a refused query: not run only if no backend server got a call.
+// outcome of a refused query: not run only if no backend server can have run
+// a call of it.
 func (r *run) outcome() figmast.Outcome {
-	for _, p := range r.parts {
-		if p.tries > 0 {
-			return figmast.Unknown
-		}
+	if r.unsure > 0 {
+		return figmast.Unknown
 	}
 	return figmast.NotRun
 }
@@ -289,52 +216,61 @@
 // close ends the run and gives up its calls.
 func (r *run) close() {
 	r.done = true
-	for _, p := range r.parts {
-		r.cancel(p)
+	r.giveUpCalls()
+	if r.admitted {
+		r.service.running--
 	}
+	if r.place != noPlace {
+		r.service.unqueue(r)
+	}
+	r.engine.timers.stop(r)
 	delete(r.engine.runs, r.id)
 }
 
-func (r *run) cancel(p *part) {
-	for _, a := range p.running {
-		r.out.Cancel = append(r.out.Cancel, leafcall.Cancel{ID: a.id})
+func (r *run) giveUpCalls() {
+	for i := range r.parts {
+		r.parts[i].stop()
 	}
 }
 
 func (r *run) tick(now time.Time) {
-	for _, p := range r.parts {
-		if p.have || p.failed != "" || now.Before(p.hedgeAt) {
-			continue
+	if !r.admitted {
+		r.expire(now)
+		return
+	}
+	for i := len(r.open) - 1; i >= 0; i-- {
+		if i < len(r.open) {
+			r.open[i].tick(now)
 		}
-		p.hedgeAt = r.req.Deadline
-		if r.engine.opts.Router.SpendHedge(now, r.req.Service, p.leaf) {
-			r.try(now, p, true)
+		if r.done {
+			return
 		}
 	}
-	if r.impatient(now) {
-		r.patience = time.Time{}
+	if len(r.open) <= r.stragglers() {
+		r.hedgeOverdue(now)
 	}
 	r.settle(now)
+	r.rest(now)
 }
 
-func (r *run) next() time.Time {
+// rest sets the timer to the next thing that is due by time.
+func (r *run) rest(now time.Time) {
+	if r.done {
+		return
+	}
 	next := r.req.Deadline
-	for _, p := range r.parts {
-		if !p.have && p.failed == "" && p.hedgeAt.Before(next) {
-			next = p.hedgeAt
-		}
+	for _, p := range r.open {
+		next = p.next(now, next)
 	}
-	if !r.patience.IsZero() && r.patience.Before(next) {
+	if r.patience.After(now) && r.patience.Before(next) {
 		next = r.patience
 	}
-	return next
+	r.engine.timers.set(r, next)
 }
 
-func without(list []*attempt, a *attempt) []*attempt {
-	for i, x := range list {
-		if x == a {
-			return append(list[:i:i], list[i+1:]...)
-		}
+// soon makes sure that the run ticks at that time at the latest.
+func (r *run) soon(at time.Time) {
+	if r.timer != noTimer && at.Before(r.wake) {
+		r.engine.timers.set(r, at)
 	}
-	return list
 }
