Count a closed connection until the backend server has closed it too

Cause: TestShareIsNeverExceeded saw more than 7 connections at a stand-in server with a share of 5 in 1 of 3 runs: a cancelled HTTP/1.1 call burns its connection, its place was free at once, and the replacement was open before the server had noticed the close. Ruled out: connections opened ahead of need (the test opens none) and HTTP/2 (not seen above the share). The other 2 runs failed in the test itself: a call cancelled while connecting is truly not sent, so the test now asks that only of calls that were not cancelled, and its bound is the share itself, without slack.

Change: closing shuts down the write side, and the place in the share is given back when the server has closed its side, or after 1 s. A call also waits up to 50 ms for a connection whose last call has just ended, in place of failing as not sent.

Stopping a host now waits for commands whose caller has gone; queries' calls are given up.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/policy"
@@ -16,29 +17,27 @@
 type conns struct {
 	address   string
 	transport *http.Transport
+	places    *places
 
-	mu sync.Mutex
-	// limit is this host's share of the server's connections.
-	limit int
-	// opening counts connections that are being opened.
-	opening int
-	open    []*http.ClientConn
-	closed  bool
+	mu     sync.Mutex
+	open   []*http.ClientConn
+	closed bool
 }
 
 func newConns(address string, protocol document.Protocol) *conns {
 	p := new(http.Protocols)
 	p.SetHTTP1(protocol == document.HTTP1)
 	p.SetUnencryptedHTTP2(protocol == document.HTTP2)
-	t := &http.Transport{Protocols: p, DisableCompression: true}
-	return &conns{address: address, transport: t}
+	c := &conns{address: address, places: newPlaces()}
+	c.transport = &http.Transport{Protocols: p, DisableCompression: true, DialContext: c.places.dial}
+	return c
 }
 
 // setLimit changes the share; idle connections above it are closed.
 func (c *conns) setLimit(n int) {
+	c.places.setLimit(n)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit = n
 	kept := c.open[:0]
 	excess := len(c.open) - n
 	for _, cc := range c.open {
@@ -49,37 +48,62 @@
 		}
 		kept = append(kept, cc)
 	}
+	clear(c.open[len(kept):])
 	c.open = kept
 }
 
+// freeWait bounds how long a call waits for a connection whose last call has
+// just ended: the decisions count a call as over a moment before net/http
+// hands its connection back.
+const freeWait = 50 * time.Millisecond
+
 // get returns a connection with room for one call, reserved.
 func (c *conns) get(ctx context.Context) (*http.ClientConn, error) {
+	limit := time.NewTimer(freeWait)
+	defer limit.Stop()
+	for {
+		freed := c.places.freed.wait()
+		if cc := c.reserve(); cc != nil {
+			return cc, nil
+		}
+		if cc, err := c.dial(ctx, true); !errors.Is(err, errNoConnection) {
+			return cc, err
+		}
+		select {
+		case <-freed:
+		case <-limit.C:
+			return nil, errNoConnection
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// reserve returns a connection with room, or nil.
+func (c *conns) reserve() *http.ClientConn {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.prune()
 	for _, cc := range c.open {
 		if cc.Available() > 0 && cc.Reserve() == nil {
-			c.mu.Unlock()
-			return cc, nil
+			return cc
 		}
 	}
-	if c.closed || len(c.open)+c.opening >= c.limit {
-		c.mu.Unlock()
-		return nil, errNoConnection
-	}
-	c.opening++
-	c.mu.Unlock()
-	return c.dial(ctx, true)
+	return nil
 }
 
-// dial opens a connection that opening already counts.
+// dial opens a connection, and reserves it where asked. The error is
+// errNoConnection when the share is used up.
 func (c *conns) dial(ctx context.Context, reserve bool) (*http.ClientConn, error) {
+	if c.places.full() {
+		return nil, errNoConnection
+	}
 	cc, err := c.transport.NewClientConn(ctx, "http", c.address)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.opening--
 	if err != nil {
 		return nil, err
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.closed {
 		_ = cc.Close()
 		return nil, errNoConnection
@@ -91,20 +115,13 @@
 		}
 	}
 	c.open = append(c.open, cc)
+	cc.SetStateHook(func(*http.ClientConn) { c.places.freed.send() })
 	return cc, nil
 }
 
 // fill opens one connection if the share leaves room, and reports whether
 // there may be room for more.
 func (c *conns) fill(ctx context.Context) bool {
-	c.mu.Lock()
-	c.prune()
-	if c.closed || len(c.open)+c.opening >= c.limit {
-		c.mu.Unlock()
-		return false
-	}
-	c.opening++
-	c.mu.Unlock()
 	_, err := c.dial(ctx, false)
 	return err == nil
 }
@@ -121,7 +138,9 @@
 	c.open = kept
 }
 
+// close closes every connection; drain waits for the last.
 func (c *conns) close() {
+	c.places.setLimit(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
@@ -131,6 +150,8 @@
 	c.open = nil
 }
 
+func (c *conns) drain() { c.places.drain() }
+
 // connsKey tells when two shares are of the same backend server.
 type connsKey struct {
 	address  string
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -89,11 +89,14 @@
 func (p *Pool) Close() {
 	p.cancel()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range p.servers {
 		c.close()
 	}
-	p.mu.Unlock()
 	p.filling.Wait()
+	for _, c := range p.servers {
+		c.drain()
+	}
 }
 
 // Call makes one call. It returns when the call has ended or ctx is done.
--- /dev/null
+++ b/backend/pool_test.go
@@ -0,0 +1,222 @@
+package backend_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/figmast/figmast/backend"
+	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/internal/fake"
+	"github.com/figmast/figmast/leafcall"
+	"github.com/figmast/figmast/policy"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// server is a stand-in backend server that counts its open connections.
+type server struct {
+	*fake.Backend
+	address string
+	open    atomic.Int64
+	most    atomic.Int64
+	opened  atomic.Int64
+}
+
+func newServer(t testing.TB, h http.Handler) *server {
+	t.Helper()
+	s := &server{Backend: fake.NewBackend("s1")}
+	if h == nil {
+		h = s.Backend
+	}
+	hs := httptest.NewUnstartedServer(h)
+	hs.Config.Protocols = new(http.Protocols)
+	hs.Config.Protocols.SetHTTP1(true)
+	hs.Config.Protocols.SetUnencryptedHTTP2(true)
+	hs.Config.ConnState = s.count
+	hs.Start()
+	t.Cleanup(hs.Close)
+	s.address = hs.Listener.Addr().String()
+	return s
+}
+
+func (s *server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.opened.Add(1)
+		n := s.open.Add(1)
+		for most := s.most.Load(); n > most && !s.most.CompareAndSwap(most, n); most = s.most.Load() {
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+func (s *server) target() *policy.Server {
+	return &policy.Server{Service: "route-search", Leaf: "leaf-0", ID: "s1", Address: s.address}
+}
+
+func newPool(t testing.TB, s *server, connections int, protocol document.Protocol) *backend.Pool {
+	t.Helper()
+	p := backend.NewPool(backend.Options{Clock: time.Now})
+	t.Cleanup(p.Close)
+	p.Apply([]policy.Share{{Server: s.target(), Connections: connections, Protocol: protocol}})
+	return p
+}
+
+var lastID atomic.Uint64
+
+func send(s *server) leafcall.Send {
+	return leafcall.Send{
+		ID: leafcall.ID(lastID.Add(1)), Server: s.target(), RequestID: "r", Operation: "route-sheet",
+		Snapshot: "monday", Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+func TestCallOutcomes(t *testing.T) {
+	wrongAttempt := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderAttempt, "another")
+		w.Header().Set(backend.HeaderLeaf, r.Header.Get(backend.HeaderLeaf))
+		_, _ = w.Write([]byte("{}"))
+	})
+	failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
+		w.Header().Set(backend.HeaderLeaf, r.Header.Get(backend.HeaderLeaf))
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	for _, test := range []struct {
+		name      string
+		handler   http.Handler
+		behaviour fake.Behaviour
+		guard     func(time.Time) bool
+		want      leafcall.Status
+		notRun    bool
+	}{
+		{name: "answered", want: leafcall.OK},
+		{name: "shed", behaviour: fake.Behaviour{Shed: true}, want: leafcall.Shed, notRun: true},
+		{name: "snapshot gone", behaviour: fake.Behaviour{Snapshots: []string{"sunday"}}, want: leafcall.SnapshotGone, notRun: true},
+		{name: "broken after running", behaviour: fake.Behaviour{BreakAfterRun: true}, want: leafcall.Broken},
+		{name: "answer of another call", handler: wrongAttempt, want: leafcall.Mismatch},
+		{name: "server error", handler: failing, want: leafcall.Rejected},
+		{name: "guard", guard: func(time.Time) bool { return false }, want: leafcall.NotSent, notRun: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newServer(t, test.handler)
+			s.Set(test.behaviour)
+			p := newPool(t, s, 1, document.HTTP1)
+			call := send(s)
+			call.Guard = test.guard
+			res := p.Call(context.Background(), call)
+			is.Equal(res.Status, test.want)
+			is.Equal(res.NotRun(), test.notRun)
+			if test.notRun && test.handler == nil {
+				is.Equal(len(s.Executions()), 0) // not run must be true
+			}
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &server{address: l.Addr().String()}
+	is.NoErr(l.Close())
+	res := newPool(t, s, 1, document.HTTP1).Call(context.Background(), send(s))
+	is.Equal(res.Status, leafcall.NotSent)
+	is.True(res.NotRun())
+}
+
+func TestDeadlineAndCancel(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, nil)
+	s.Set(fake.Behaviour{Latency: time.Minute})
+	p := newPool(t, s, 2, document.HTTP1)
+
+	late := send(s)
+	late.Deadline = time.Now().Add(50 * time.Millisecond)
+	res := p.Call(context.Background(), late)
+	is.Equal(res.Status, leafcall.Timeout)
+	is.True(!res.NotRun())
+
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	res = p.Call(ctx, send(s))
+	is.Equal(res.Status, leafcall.Cancelled)
+	is.True(!res.NotRun())
+}
+
+// TestShareIsNeverExceeded drives more calls than connections, cancels some,
+// and changes the share, while the server counts its connections.
+func TestShareIsNeverExceeded(t *testing.T) {
+	for _, protocol := range []document.Protocol{document.HTTP1, document.HTTP2} {
+		t.Run(string(protocol), func(t *testing.T) {
+			is := is.New(t)
+			const share = 5
+			s := newServer(t, nil)
+			s.Set(fake.Behaviour{Latency: 2 * time.Millisecond})
+			p := newPool(t, s, share, protocol)
+			var done sync.WaitGroup
+			for worker := range share {
+				done.Go(func() {
+					for i := range 100 {
+						ctx, cancel := context.WithCancel(context.Background())
+						if i%10 == 0 {
+							time.AfterFunc(time.Millisecond, cancel)
+						}
+						res := p.Call(ctx, send(s))
+						given := ctx.Err() != nil
+						cancel()
+						if res.Status == leafcall.NotSent && !given {
+							t.Errorf("worker %d: %v", worker, res.Err)
+						}
+					}
+				})
+			}
+			done.Wait()
+			is.True(s.most.Load() <= share)
+		})
+	}
+}
+
+func TestPreopen(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, nil)
+	p := backend.NewPool(backend.Options{Clock: time.Now, Preopen: true})
+	defer p.Close()
+	p.Apply([]policy.Share{{Server: s.target(), Connections: 3, Protocol: document.HTTP1}})
+	for end := time.Now().Add(10 * time.Second); s.open.Load() < 3 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.open.Load(), int64(3))
+	is.Equal(p.Call(context.Background(), send(s)).Status, leafcall.OK)
+	is.Equal(s.opened.Load(), int64(3)) // the call used an open connection
+}
+
+func BenchmarkCall(b *testing.B) {
+	for _, protocol := range []document.Protocol{document.HTTP1, document.HTTP2} {
+		b.Run(fmt.Sprint(protocol), func(b *testing.B) {
+			s := newServer(b, nil)
+			p := newPool(b, s, 16, protocol)
+			b.ReportAllocs()
+			b.SetParallelism(1)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if res := p.Call(context.Background(), send(s)); res.Status != leafcall.OK {
+						b.Fatal(res.Status, res.Err)
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/backend/socket.go
@@ -0,0 +1,136 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// lingerLimit bounds how long a closed connection keeps its place in the
+// share while the backend server has not closed its side.
+const lingerLimit = time.Second
+
+// places counts connections as the backend server sees them: a place is taken
+// before a connection is opened and given back once the server has closed its
+// side too. It is safe for concurrent use.
+type places struct {
+	mu    sync.Mutex
+	limit int
+	used  int
+	// idle is signalled when no place is used.
+	idle  *sync.Cond
+	freed *broadcast
+}
+
+func newPlaces() *places {
+	p := &places{freed: newBroadcast()}
+	p.idle = sync.NewCond(&p.mu)
+	return p
+}
+
+func (p *places) setLimit(n int) {
+	p.mu.Lock()
+	p.limit = n
+	p.mu.Unlock()
+	p.freed.send()
+}
+
+// take reports whether there was a place left, and takes it.
+func (p *places) take() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used >= p.limit {
+		return false
+	}
+	p.used++
+	return true
+}
+
+func (p *places) release() {
+	p.mu.Lock()
+	p.used--
+	if p.used == 0 {
+		p.idle.Broadcast()
+	}
+	p.mu.Unlock()
+	p.freed.send()
+}
+
+// drain waits until no place is used.
+func (p *places) drain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.used > 0 {
+		p.idle.Wait()
+	}
+}
+
+// full reports whether every place is taken.
+func (p *places) full() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used >= p.limit
+}
+
+// dial takes a place and opens a connection in it. The error is
+// errNoConnection when no place is left.
+func (p *places) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if !p.take() {
+		return nil, errNoConnection
+	}
+	tcp, err := dialTCP(ctx, address)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return &socket{TCPConn: tcp, places: p}, nil
+}
+
+func dialTCP(ctx context.Context, address string) (*net.TCPConn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	return d.DialTCP(ctx, "tcp", netip.AddrPort{}, to)
+}
+
+// socket is a connection that gives its place back when both sides have
+// closed it.
+type socket struct {
+	*net.TCPConn
+	places *places
+	closed atomic.Bool
+}
+
+// Read fails once this side has closed the connection.
+func (s *socket) Read(b []byte) (int, error) {
+	if s.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return s.TCPConn.Read(b)
+}
+
+// Close closes this side, and the rest when the other side has followed or
+// lingerLimit has passed.
+func (s *socket) Close() error {
+	if s.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	err := s.CloseWrite()
+	// A read that net/http has in progress must return now.
+	_ = s.SetReadDeadline(time.Unix(1, 0))
+	go s.linger()
+	return err
+}
+
+func (s *socket) linger() {
+	defer s.places.release()
+	_ = s.SetReadDeadline(time.Now().Add(lingerLimit))
+	_, _ = io.Copy(io.Discard, s.TCPConn)
+	_ = s.TCPConn.Close()
+}
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -140,7 +140,7 @@
 	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
 	defer cancel()
 	err := h.callers.Shutdown(limited)
-	h.runner.Stop()
+	h.runner.Stop(limited)
 	h.control.stop()
 	h.pool.Close()
 	h.client.Close()
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	figmast "github.com/figmast/figmast"
@@ -47,21 +48,28 @@
 	mu       sync.Mutex
 	queries  map[query.RunID]chan query.Finish
 	commands map[command.RunID]chan command.Finish
-	cancels  map[leafcall.ID]context.CancelFunc
-	closed   bool
+	calls    map[leafcall.ID]call
+
+	view atomic.Pointer[view.View]
 
 	wake    chan struct{}
 	stop    chan struct{}
 	working sync.WaitGroup
 }
 
+// call is a leaf call in progress.
+type call struct {
+	cancel  context.CancelFunc
+	command bool
+}
+
 // NewRunner returns a Runner; Run must be called for timers to fire.
 func NewRunner(opts Options) *Runner {
 	return &Runner{
 		opts:     opts,
 		queries:  make(map[query.RunID]chan query.Finish),
 		commands: make(map[command.RunID]chan command.Finish),
-		cancels:  make(map[leafcall.ID]context.CancelFunc),
+		calls:    make(map[leafcall.ID]call),
 		wake:     make(chan struct{}, 1),
 		stop:     make(chan struct{}),
 	}
@@ -72,6 +80,7 @@
 	r.mu.Lock()
 	r.opts.Router.Apply(r.opts.Clock(), v)
 	shares := r.opts.Router.Shares()
+	r.view.Store(v)
 	r.mu.Unlock()
 	r.opts.Carrier.Apply(shares)
 }
@@ -185,16 +194,24 @@
 	}
 }
 
-// Stop ends Run, gives up queries' calls and waits for all calls to end.
-func (r *Runner) Stop() {
+// Stop ends Run and gives up queries' calls. It waits for commands to end
+// until ctx is done, then gives up the rest, and returns when nothing is left.
+func (r *Runner) Stop(ctx context.Context) {
 	close(r.stop)
+	r.giveUp(func(c call) bool { return !c.command })
+	over := context.AfterFunc(ctx, func() { r.giveUp(func(call) bool { return true }) })
+	defer over()
+	r.working.Wait()
+}
+
+func (r *Runner) giveUp(which func(call) bool) {
 	r.mu.Lock()
-	r.closed = true
-	for _, cancel := range r.cancels {
-		cancel()
+	defer r.mu.Unlock()
+	for _, c := range r.calls {
+		if which(c) {
+			c.cancel()
+		}
 	}
-	r.mu.Unlock()
-	r.working.Wait()
 }
 
 // runQuery carries out a query's actions. The caller holds mu.
@@ -203,8 +220,8 @@
 		r.send(s)
 	}
 	for _, c := range a.Cancel {
-		if cancel := r.cancels[c.ID]; cancel != nil {
-			cancel()
+		if running, ok := r.calls[c.ID]; ok {
+			running.cancel()
 		}
 	}
 	for _, f := range a.Finish {
@@ -235,7 +252,7 @@
 
 func (r *Runner) send(s leafcall.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r.cancels[s.ID] = cancel
+	r.calls[s.ID] = call{cancel: cancel, command: s.Command}
 	s.Guard = r.guard(s.Guard)
 	r.working.Add(1)
 	go func() {
@@ -249,19 +266,14 @@
 // guard adds the check that the view in force may still be acted on.
 func (r *Runner) guard(also func(time.Time) bool) func(time.Time) bool {
 	return func(now time.Time) bool {
-		if also != nil && !also(now) {
-			return false
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.opts.Router.View().Valid(now)
+		return r.view.Load().Valid(now) && (also == nil || also(now))
 	}
 }
 
 func (r *Runner) reply(s leafcall.Send, res leafcall.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.cancels, s.ID)
+	delete(r.calls, s.ID)
 	now := r.opts.Clock()
 	if s.Command {
 		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
