Carry leaf calls through the peer that holds a leaf's connections

At the size in two years a leaf takes 30 to 110 connections and the fleet has 620 hosts, so a call may need a second hop. The carrier asks the holder over QUIC; the holder checks its own view (data centre out, server leaving, view too old) right before the write. Only a failure to connect is reported as not sent; anything later leaves open whether the call ran.

Not wired into the daemon until the policy names holders.

--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,159 @@
+// Package relay carries leaf calls through the peer that holds a backend
+// server's connections. A fleet with more hosts than a leaf takes connections
+// needs it; a smaller one calls directly.
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figmast/figmast/internal/fault"
+	"github.com/figmast/figmast/leafcall"
+	"github.com/figmast/figmast/policy"
+	"github.com/figmast/figmast/view"
+	"github.com/figmast/figmast/wire"
+)
+
+// Direct makes leaf calls over this host's own connections.
+type Direct interface {
+	Call(ctx context.Context, s leafcall.Send) leafcall.Result
+	Apply(shares []policy.Share)
+}
+
+// Requester sends a message to a peer and returns its answer.
+type Requester interface {
+	Request(ctx context.Context, address string, m *wire.Message) (*wire.Message, error)
+}
+
+// Options configure a Carrier.
+type Options struct {
+	Direct Direct
+	Peers  Requester
+	// Clock returns the host's time.
+	Clock func() time.Time
+	// View returns the view in force, or nil.
+	View func() *view.View
+}
+
+// Carrier makes leaf calls directly, or through the peer that they name. It
+// is safe for concurrent use.
+type Carrier struct{ opts Options }
+
+// New returns a Carrier.
+func New(opts Options) *Carrier { return &Carrier{opts} }
+
+// Apply sets the shares of connections in force.
+func (c *Carrier) Apply(shares []policy.Share) { c.opts.Direct.Apply(shares) }
+
+// Call makes one leaf call.
+func (c *Carrier) Call(ctx context.Context, s leafcall.Send) leafcall.Result {
+	if s.Via.ID == "" {
+		return c.opts.Direct.Call(ctx, s)
+	}
+	now := c.opts.Clock()
+	if s.Guard != nil && !s.Guard(now) {
+		return leafcall.Result{Status: leafcall.NotSent, Err: relayFault("guard", s, errors.New("the call is no longer allowed"))}
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.Deadline.Sub(now))
+	defer cancel()
+	answer, err := c.opts.Peers.Request(ctx, s.Via.Address, &wire.Message{LeafCall: encode(s, now)})
+	switch {
+	case err != nil:
+		return unanswered(ctx, s, err)
+	case answer.LeafResult == nil:
+		return unanswered(ctx, s, errors.New("the peer did not answer with a leaf result"))
+	}
+	return decode(s, answer.LeafResult)
+}
+
+func relayFault(step string, s leafcall.Send, err error) error {
+	return fault.Wrap(fault.Peer, step, s.Via.ID, err)
+}
+
+// stepConnect is where a request to a peer fails before anything was sent.
+const stepConnect = "connect"
+
+func unanswered(ctx context.Context, s leafcall.Send, err error) leafcall.Result {
+	r := leafcall.Result{Status: leafcall.Broken, Sent: true, Err: relayFault("relay", s, err)}
+	step, _ := fault.Origin(err)
+	switch {
+	case step == stepConnect:
+		r.Status = leafcall.NotSent
+		r.Sent = false
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.Status = leafcall.Timeout
+	case ctx.Err() != nil:
+		r.Status = leafcall.Cancelled
+	}
+	return r
+}
+
+func encode(s leafcall.Send, now time.Time) *wire.LeafCall {
+	return &wire.LeafCall{
+		ID: uint64(s.ID), Service: s.Server.Service, Leaf: s.Server.Leaf, Server: s.Server.ID,
+		RequestID: s.RequestID, Operation: s.Operation, Snapshot: s.Snapshot, Payload: s.Payload,
+		Command: s.Command, LeftUs: s.Deadline.Sub(now).Microseconds(),
+	}
+}
+
+func decode(s leafcall.Send, r *wire.LeafResult) leafcall.Result {
+	out := leafcall.Result{
+		Status: leafcall.Status(r.Status), Body: r.Body, Snapshot: r.Snapshot, Cold: r.Cold, Sent: r.Sent,
+		RetryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond,
+	}
+	if r.Error != "" {
+		out.Err = relayFault("relayed", s, errors.New(r.Error))
+	}
+	return out
+}
+
+// Serve makes a leaf call that a peer asks for.
+func (c *Carrier) Serve(ctx context.Context, call *wire.LeafCall) *wire.Message {
+	res := c.serve(ctx, call)
+	out := &wire.LeafResult{
+		Status: int(res.Status), Body: res.Body, Snapshot: res.Snapshot, Cold: res.Cold, Sent: res.Sent,
+		RetryAfterUs: res.RetryAfter.Microseconds(),
+	}
+	if res.Err != nil {
+		out.Error = res.Err.Error()
+	}
+	return &wire.Message{LeafResult: out}
+}
+
+func (c *Carrier) serve(ctx context.Context, call *wire.LeafCall) leafcall.Result {
+	v := c.opts.View()
+	srv, err := find(v, call)
+	if err != nil {
+		return leafcall.Result{Status: leafcall.NotSent, Err: fault.Wrap(fault.Peer, "serve", v.SelfID(), err)}
+	}
+	deadline := c.opts.Clock().Add(time.Duration(call.LeftUs) * time.Microsecond)
+	return c.opts.Direct.Call(ctx, leafcall.Send{
+		ID: leafcall.ID(call.ID), Server: srv, RequestID: call.RequestID, Operation: call.Operation,
+		Snapshot: call.Snapshot, Payload: call.Payload, Command: call.Command, Deadline: deadline,
+		Guard: func(now time.Time) bool { return c.opts.View().Valid(now) && now.Before(deadline) },
+	})
+}
+
+// find returns the backend server that the call names, unless this host's
+// view forbids new work for it.
+func find(v *view.View, call *wire.LeafCall) (*policy.Server, error) {
+	if v == nil || v.Services[call.Service] == nil {
+		return nil, errors.New("unknown service " + call.Service)
+	}
+	doc := v.Services[call.Service]
+	l := doc.Leaf(call.Leaf)
+	if l == nil {
+		return nil, errors.New("unknown leaf " + call.Leaf)
+	}
+	for _, s := range l.Servers {
+		if s.ID != call.Server {
+			continue
+		}
+		if s.Leaving || doc.Out(s.DataCentre) {
+			return nil, errors.New("no new work for " + s.ID)
+		}
+		return &policy.Server{Service: doc.Name, Leaf: l.Name, ID: s.ID, Address: s.Address, DataCentre: s.DataCentre}, nil
+	}
+	return nil, errors.New("unknown backend server " + call.Server)
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,177 @@
+package relay_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/backend"
+	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/internal/certs"
+	"github.com/figmast/figmast/internal/fake"
+	"github.com/figmast/figmast/leafcall"
+	"github.com/figmast/figmast/peer"
+	"github.com/figmast/figmast/policy"
+	"github.com/figmast/figmast/relay"
+	"github.com/figmast/figmast/view"
+	"github.com/figmast/figmast/wire"
+)
+
+// holder is a host that holds the connections to one stand-in backend server.
+type holder struct {
+	server  *fake.Backend
+	target  *policy.Server
+	address string
+	view    *view.View
+	direct  *backend.Pool
+}
+
+func startHolder(t testing.TB, authority *certs.Authority) *holder {
+	t.Helper()
+	h := &holder{server: fake.NewBackend("s1")}
+	hs := httptest.NewServer(h.server)
+	t.Cleanup(hs.Close)
+	h.target = &policy.Server{Service: "billing", Leaf: "a", ID: "s1", Address: hs.Listener.Addr().String(), DataCentre: "dc-1"}
+	h.setView(false, time.Now().Add(time.Hour))
+	h.direct = backend.NewPool(backend.Options{Clock: time.Now})
+	t.Cleanup(h.direct.Close)
+	h.direct.Apply([]policy.Share{{Server: h.target, Connections: 16, Protocol: document.HTTP1}})
+	c := relay.New(relay.Options{Direct: h.direct, Clock: time.Now, View: func() *view.View { return h.view }})
+	tr := listen(t, authority, func(ctx context.Context, m *wire.Message) *wire.Message { return c.Serve(ctx, m.LeafCall) })
+	h.address = tr.Address()
+	return h
+}
+
+func (h *holder) setView(out bool, until time.Time) {
+	doc := &document.Service{Name: "billing", Leaves: []document.Leaf{{Name: "a", Servers: []document.Server{
+		{ID: "s1", Address: h.target.Address, DataCentre: "dc-1"},
+	}}}}
+	if out {
+		doc.DataCentresOut = []string{"dc-1"}
+	}
+	h.view = &view.View{Self: view.Host{ID: "holder"}, Services: map[string]*document.Service{"billing": doc}, ValidUntil: until}
+}
+
+func listen(t testing.TB, authority *certs.Authority, h peer.Handler) *peer.Transport {
+	t.Helper()
+	pair, err := authority.Host("host", "127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	src := peer.Source{Certificate: pair.CertPEM, Key: pair.KeyPEM, Authorities: authority.PEM}
+	tr, err := peer.Listen(peer.Options{Address: "127.0.0.1:0", TLS: src.Load, Handler: h})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = tr.Close() })
+	return tr
+}
+
+func newCarrier(t testing.TB, authority *certs.Authority) *relay.Carrier {
+	t.Helper()
+	tr := listen(t, authority, func(context.Context, *wire.Message) *wire.Message {
+		return &wire.Message{Failure: &wire.Failure{Step: "serve", Detail: "asks only"}}
+	})
+	return relay.New(relay.Options{Peers: tr, Clock: time.Now})
+}
+
+func (h *holder) send() leafcall.Send {
+	return leafcall.Send{
+		ID: 7, Server: h.target, Via: view.Host{ID: "holder", Address: h.address}, RequestID: "r", Operation: "look-up",
+		Snapshot: "monday", Deadline: time.Now().Add(10 * time.Second),
+	}
+}
+
+func newAuthority(t testing.TB) *certs.Authority {
+	t.Helper()
+	a, err := certs.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func TestCallThroughHolder(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	h := startHolder(t, a)
+	c := newCarrier(t, a)
+	res := c.Call(context.Background(), h.send())
+	is.NoErr(res.Err)
+	is.Equal(res.Status, leafcall.OK)
+	is.Equal(res.Snapshot, "monday")
+	is.Equal(len(h.server.Executions()), 1)
+
+	h.server.Set(fake.Behaviour{Shed: true})
+	res = c.Call(context.Background(), h.send())
+	is.Equal(res.Status, leafcall.Shed)
+	is.True(res.NotRun())
+
+	h.server.Set(fake.Behaviour{BreakAfterRun: true})
+	is.True(!c.Call(context.Background(), h.send()).NotRun())
+}
+
+// TestHolderChecksItsOwnView asks a holder for work that its view forbids.
+func TestHolderChecksItsOwnView(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	h := startHolder(t, a)
+	c := newCarrier(t, a)
+	h.setView(true, time.Now().Add(time.Hour))
+	res := c.Call(context.Background(), h.send())
+	is.Equal(res.Status, leafcall.NotSent) // the data centre is out
+	h.setView(false, time.Now().Add(-time.Second))
+	res = c.Call(context.Background(), h.send())
+	is.Equal(res.Status, leafcall.NotSent) // the view may not be acted on
+	is.True(res.NotRun())
+	is.Equal(len(h.server.Executions()), 0)
+}
+
+// TestUnreachableHolder tells a peer that cannot be reached, to which nothing
+// was sent, from one that does not answer.
+func TestUnreachableHolder(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	h := startHolder(t, a)
+	c := newCarrier(t, newAuthority(t)) // an authority that the holder does not trust
+	s := h.send()
+	s.Deadline = time.Now().Add(300 * time.Millisecond)
+	is.True(c.Call(context.Background(), s).Status != leafcall.OK)
+	is.Equal(len(h.server.Executions()), 0)
+
+	h.server.Set(fake.Behaviour{Latency: time.Minute})
+	s = h.send()
+	s.Deadline = time.Now().Add(300 * time.Millisecond)
+	res := newCarrier(t, a).Call(context.Background(), s)
+	is.Equal(res.Status, leafcall.Timeout)
+	is.True(!res.NotRun())
+}
+
+func BenchmarkCall(b *testing.B) {
+	a := newAuthority(b)
+	h := startHolder(b, a)
+	relayed := newCarrier(b, a)
+	direct := h.send()
+	direct.Via = view.Host{}
+	for _, test := range []struct {
+		name string
+		call func() leafcall.Result
+	}{
+		{"direct", func() leafcall.Result { return h.direct.Call(context.Background(), direct) }},
+		{"relayed", func() leafcall.Result { return relayed.Call(context.Background(), h.send()) }},
+	} {
+		b.Run(test.name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if res := test.call(); res.Status != leafcall.OK {
+						b.Fatal(res.Status, res.Err)
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/wire/leafcall.go
@@ -0,0 +1,29 @@
+package wire
+
+// LeafCall is a leaf call on its way to the host that makes it.
+type LeafCall struct {
+	ID        uint64 `cbor:"1,keyasint"`
+	Service   string `cbor:"2,keyasint"`
+	Leaf      string `cbor:"3,keyasint"`
+	Server    string `cbor:"4,keyasint"`
+	RequestID string `cbor:"5,keyasint"`
+	Operation string `cbor:"6,keyasint"`
+	Snapshot  string `cbor:"7,keyasint,omitempty"`
+	Payload   []byte `cbor:"8,keyasint,omitempty"`
+	Command   bool   `cbor:"9,keyasint,omitempty"`
+	// LeftUs is the time left for the call in microseconds.
+	LeftUs int64 `cbor:"10,keyasint"`
+}
+
+// LeafResult is how a leaf call ended; Status is a leafcall.Status.
+type LeafResult struct {
+	Status   int    `cbor:"1,keyasint"`
+	Body     []byte `cbor:"2,keyasint,omitempty"`
+	Snapshot string `cbor:"3,keyasint,omitempty"`
+	Cold     bool   `cbor:"4,keyasint,omitempty"`
+	Sent     bool   `cbor:"5,keyasint,omitempty"`
+	// RetryAfterUs is when the server wants to be asked again, in
+	// microseconds, or 0.
+	RetryAfterUs int64  `cbor:"6,keyasint,omitempty"`
+	Error        string `cbor:"7,keyasint,omitempty"`
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -24,6 +24,10 @@
 	Outcome *Outcome `cbor:"3,keyasint,omitempty"`
 	// Failure answers anything that could not be served.
 	Failure *Failure `cbor:"4,keyasint,omitempty"`
+	// LeafCall asks the host that holds a backend server's connections to
+	// make a leaf call; LeafResult answers it.
+	LeafCall   *LeafCall   `cbor:"20,keyasint,omitempty"`
+	LeafResult *LeafResult `cbor:"21,keyasint,omitempty"`
 }
 
 // Forward is a command on its way to the host that minted its ticket.
