--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -34,7 +33,20 @@
 	Operation string          `json:"operation"`
 	Command   bool            `json:"command"`
 	Payload   json.RawMessage `json:"payload"`
+	Snapshot  string          `json:"snapshot,omitempty"`
 	At        time.Time       `json:"at"`
+	// Cold is set when the server was in cold start, and AtOnce is how many
+	// calls it then had in progress, this one included.
+	Cold   bool `json:"cold,omitempty"`
+	AtOnce int  `json:"at_once"`
+}
+
+// Result is what a stand-in backend server answers.
+type Result struct {
+	Leaf     string          `json:"leaf"`
+	Server   string          `json:"server"`
+	Snapshot string          `json:"snapshot"`
+	Echo     json.RawMessage `json:"echo"`
 }
 
 // Backend is a stand-in for one backend server.
@@ -101,7 +113,7 @@
 	if len(payload) == 0 {
 		payload = []byte("null")
 	}
-	how := b.begin()
+	how, atOnce := b.begin()
 	defer b.end()
 	in, out := r.Header, w.Header()
 	for _, name := range []string{backend.HeaderAttempt, backend.HeaderLeaf, backend.HeaderSnapshot} {
@@ -118,7 +130,7 @@
 		refuse(w, http.StatusConflict)
 		return
 	}
-	b.record(r, payload)
+	b.record(r, payload, how.Cold, atOnce)
 	select {
 	case <-time.After(how.Latency):
 	case <-r.Context().Done():
@@ -127,7 +139,9 @@
 	if how.BreakAfterRun {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprintf(w, `{"leaf":%q,"server":%q,"snapshot":%q}`, in.Get(backend.HeaderLeaf), b.id, in.Get(backend.HeaderSnapshot))
+	_ = json.NewEncoder(w).Encode(Result{
+		Leaf: in.Get(backend.HeaderLeaf), Server: b.id, Snapshot: in.Get(backend.HeaderSnapshot), Echo: payload,
+	})
 }
 
 func refuse(w http.ResponseWriter, status int) {
@@ -147,12 +161,13 @@
 	return false
 }
 
-func (b *Backend) begin() Behaviour {
+// begin counts a call and returns how to treat it, and how many are running.
+func (b *Backend) begin() (Behaviour, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.running++
 	b.mostAtOnce = max(b.mostAtOnce, b.running)
-	return b.behaviour
+	return b.behaviour, b.running
 }
 
 func (b *Backend) end() {
@@ -161,7 +176,7 @@
 	b.running--
 }
 
-func (b *Backend) record(r *http.Request, payload []byte) {
+func (b *Backend) record(r *http.Request, payload []byte, cold bool, atOnce int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.executions = append(b.executions, Execution{
@@ -171,6 +186,9 @@
 		Operation: r.Header.Get(backend.HeaderOperation),
 		Command:   r.URL.Path == backend.PathCommand,
 		Payload:   payload,
+		Snapshot:  r.Header.Get(backend.HeaderSnapshot),
 		At:        time.Now(),
+		Cold:      cold,
+		AtOnce:    atOnce,
 	})
 }
