Count connections at the socket in the test of the share

Ruled out: the share itself (counted at accept and just before close it holds).

The bound is unchanged, the share without slack.

--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -42,23 +42,43 @@
 	hs.Config.Protocols = new(http.Protocols)
 	hs.Config.Protocols.SetHTTP1(true)
 	hs.Config.Protocols.SetUnencryptedHTTP2(true)
-	hs.Config.ConnState = s.count
+	hs.Listener = &countingListener{Listener: hs.Listener, server: s}
 	hs.Start()
 	t.Cleanup(hs.Close)
 	s.address = hs.Listener.Addr().String()
 	return s
 }
 
-func (s *server) count(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.opened.Add(1)
-		n := s.open.Add(1)
-		for most := s.most.Load(); n > most && !s.most.CompareAndSwap(most, n); most = s.most.Load() {
-		}
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
+// countingListener counts connections from accept until just before the
+// server closes them; net/http's own ConnState tells of a close only after
+// the other side may have seen it.
+type countingListener struct {
+	net.Listener
+	server *server
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	s := l.server
+	s.opened.Add(1)
+	n := s.open.Add(1)
+	for most := s.most.Load(); n > most && !s.most.CompareAndSwap(most, n); most = s.most.Load() {
+	}
+	return &countedConn{Conn: c, server: s}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	server *server
+	once   sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.server.open.Add(-1) })
+	return c.Conn.Close()
 }
 
 func (s *server) target() *policy.Server {
