Commands: outcomes that hold for every sending of a ticket

Cause: a host that did not mint a ticket answered not_run for things that it cannot know (stale view, unknown service, leaving), and a not_run of the minter did not close the ticket, so that a late copy could still run. Joined callers had no deadline, Done got no result, expiry was read off the wall clock, and neither tickets nor kept results were bounded.

Now: only the minter tells not_run, and closes the ticket with it; other hosts say unknown, with unhandled where this sending went to nobody. Retries only after not_sent or shed, within attempts and budget. Deadlines and lapses are kept in heaps. A bare key is refused.

--- a/api/api.go
+++ b/api/api.go
@@ -33,7 +33,7 @@
 type Backend interface {
 	Query(ctx context.Context, r query.Request) (*figmast.QueryAnswer, *figmast.Problem)
 	Command(ctx context.Context, r command.Request) (*figmast.CommandAnswer, *figmast.Problem)
-	Mint(service string) command.Ticket
+	Mint(service string) (command.Ticket, *figmast.Problem)
 }
 
 // Options configure the handler.
@@ -103,12 +103,12 @@
 		c, p = s.prepare(r, id, body.Operation, document.Command)
 	}
 	if p != nil {
-		s.refuse(w, id, p)
+		s.refuse(w, id, unhandled(body, p))
 		return
 	}
 	ans, p := s.Backend.Command(r.Context(), command.Request{
 		ID: id, Service: c.doc.Name, Operation: body.Operation, Payload: body.Payload,
-		ShardKey: body.ShardKey, Ticket: body.Ticket, Key: body.Key,
+		ShardKey: body.ShardKey, Ticket: body.Ticket,
 		Urgency: orUrgency(body.Urgency, c.op), Worth: orWorth(body.Worth, c.op), Deadline: c.deadline,
 	})
 	s.finish(w, id, ans, ans != nil, p)
@@ -121,8 +121,15 @@
 		s.refuse(w, id, p)
 		return
 	}
-	t := s.Backend.Mint(name)
-	s.write(w, http.StatusOK, "application/json", figmast.TicketAnswer{Ticket: t.String(), Expires: t.Expires()})
+	t, p := s.Backend.Mint(name)
+	if p != nil {
+		s.refuse(w, id, p)
+		return
+	}
+	left := time.Until(t.Expires())
+	s.write(w, http.StatusOK, "application/json", figmast.TicketAnswer{
+		Ticket: t.String(), Expires: t.Expires(), LifetimeMs: left.Milliseconds(),
+	})
 }
 
 // open reads the request id and the body.
@@ -181,18 +188,36 @@
 		return invalid("shard_key", "missing")
 	case len(c.ShardKey) > maxKeyLen:
 		return invalid("shard_key", fmt.Sprintf("longer than %d bytes", maxKeyLen))
+	case c.Key != "":
+		return invalid("key", "a key without a ticket cannot be run at most once; take a ticket")
 	case c.Ticket == "":
 		return invalid("ticket", "missing")
 	}
 	return checkValues(c.Urgency, c.Worth)
 }
 
+// unhandled makes a refusal of a command true of all sendings of its ticket:
+// this host cannot know what became of the others.
+func unhandled(c figmast.CommandRequest, p *figmast.Problem) *figmast.Problem {
+	if c.Ticket != "" {
+		p.Outcome = figmast.Unknown
+		p.Unhandled = true
+	}
+	return p
+}
+
 // ready tells why no request for the service is taken, or nil.
 func (s *server) ready(name string) *figmast.Problem {
+	if s.Draining() {
+		return unavailable("the host is leaving", "admit")
+	}
+	return s.known(name)
+}
+
+// known tells why the service is not known here, or nil.
+func (s *server) known(name string) *figmast.Problem {
 	v := s.View()
 	switch {
-	case s.Draining():
-		return unavailable("the host is leaving", "admit")
 	case v == nil:
 		return unavailable("the host has no configuration yet", "admit")
 	case v.Services[name] == nil:
@@ -205,7 +230,7 @@
 
 func (s *server) prepare(r *http.Request, id, operation string, kind document.Kind) (call, *figmast.Problem) {
 	name := mux.Vars(r)["service"]
-	if p := s.ready(name); p != nil {
+	if p := s.takes(name, kind); p != nil {
 		return call{}, p
 	}
 	doc := s.View().Services[name]
@@ -220,6 +245,15 @@
 	return call{id: id, doc: doc, op: op, deadline: s.Clock().Add(left)}, nil
 }
 
+// takes tells why no request of that kind is taken, or nil. A leaving host
+// still runs the commands that it gave tickets for, and tells their outcome.
+func (s *server) takes(name string, kind document.Kind) *figmast.Problem {
+	if kind == document.Command {
+		return s.known(name)
+	}
+	return s.ready(name)
+}
+
 func timeLeft(r *http.Request, op document.Operation) (time.Duration, *figmast.Problem) {
 	text := r.Header.Get(figmast.HeaderDeadline)
 	if text == "" {
--- /dev/null
+++ b/command/queue.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"container/heap"
+	"time"
+)
+
+// entry is one item of a queue and when it is due.
+type entry[T any] struct {
+	at    time.Time
+	item  T
+	index int
+}
+
+// queue gives back its items in the order in which they are due.
+type queue[T any] struct{ entries entries[T] }
+
+// add puts an item into the queue; the entry serves to remove it.
+func (q *queue[T]) add(at time.Time, item T) *entry[T] {
+	e := &entry[T]{at: at, item: item}
+	heap.Push(&q.entries, e)
+	return e
+}
+
+// remove takes an entry out before it is due; nil and removed ones are
+// ignored.
+func (q *queue[T]) remove(e *entry[T]) {
+	if e != nil && e.index >= 0 {
+		heap.Remove(&q.entries, e.index)
+	}
+}
+
+// next returns when the first item is due.
+func (q *queue[T]) next() (time.Time, bool) {
+	if len(q.entries) == 0 {
+		return time.Time{}, false
+	}
+	return q.entries[0].at, true
+}
+
+// take removes and returns the first item if it is due.
+func (q *queue[T]) take(now time.Time) (T, bool) {
+	if len(q.entries) == 0 || now.Before(q.entries[0].at) {
+		var none T
+		return none, false
+	}
+	return heap.Pop(&q.entries).(*entry[T]).item, true
+}
+
+// entries implements heap.Interface.
+type entries[T any] []*entry[T]
+
+func (s entries[T]) Len() int           { return len(s) }
+func (s entries[T]) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
+
+func (s entries[T]) Swap(i, j int) {
+	s[i], s[j] = s[j], s[i]
+	s[i].index, s[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (s *entries[T]) Push(x any) {
+	e := x.(*entry[T])
+	e.index = len(*s)
+	*s = append(*s, e)
+}
+
+// Pop implements heap.Interface.
+func (s *entries[T]) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	(*s)[last] = nil
+	*s = (*s)[:last]
+	e.index = -1
+	return e
+}
--- a/command/wire.go
+++ b/command/wire.go
@@ -9,14 +9,14 @@
 func FromWire(service, id string, c figmast.CommandRequest) Request {
 	return Request{
 		ID: id, Service: service, Operation: c.Operation, ShardKey: c.ShardKey,
-		Ticket: c.Ticket, Key: c.Key, Payload: c.Payload, Urgency: c.Urgency, Worth: c.Worth,
+		Ticket: c.Ticket, Payload: c.Payload, Urgency: c.Urgency, Worth: c.Worth,
 	}
 }
 
 // Wire returns the request as it travels between processes.
 func (r Request) Wire() figmast.CommandRequest {
 	return figmast.CommandRequest{
-		Operation: r.Operation, ShardKey: r.ShardKey, Ticket: r.Ticket, Key: r.Key,
+		Operation: r.Operation, ShardKey: r.ShardKey, Ticket: r.Ticket,
 		Payload: r.Payload, Urgency: r.Urgency, Worth: r.Worth,
 	}
 }
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -77,7 +77,7 @@
 		Router:  router,
 		Queries: query.NewEngine(query.Options{Router: router, NextCall: next}),
 		Commands: command.NewEngine(command.Options{
-			Router: router, NextCall: next, Key: key, Incarnation: uuid.NewString(), Lifetime: s.TicketLife,
+			Router: router, NextCall: next, Host: s.Host, Key: key, Incarnation: uuid.NewString(), Lifetime: s.TicketLife,
 		}),
 		Carrier: h.pool, Forwarder: h.peers, Clock: clock.Now,
 	})
@@ -140,6 +140,8 @@
 	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
 	defer cancel()
 	err := h.callers.Shutdown(limited)
+	lost := h.runner.DrainCommands(limited)
+	h.log.Info("outcomes of commands forgotten", "claims", lost.Claims, "unused_tickets", lost.Tickets-lost.Claims, "running", lost.Running)
 	h.runner.Stop()
 	h.control.stop()
 	h.pool.Close()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -6,6 +6,7 @@
 
 	"github.com/figmast/figmast/command"
 	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/internal/fault"
 	"github.com/figmast/figmast/peer"
 	"github.com/figmast/figmast/traffic"
 	"github.com/figmast/figmast/wire"
@@ -26,12 +27,21 @@
 		LeftMs:    max(f.Request.Deadline.Sub(clock.Now()).Milliseconds(), 1),
 	}}
 	answer, err := p.transport.Request(ctx, f.To.Address, m)
-	if err != nil || answer.Outcome == nil {
+	if err != nil {
+		return command.Finish{NotHanded: handedToNobody(err)}
+	}
+	if answer.Outcome == nil {
 		return command.Finish{}
 	}
 	return command.Finish{Answer: answer.Outcome.Answer, Problem: answer.Outcome.Problem}
 }
 
+// handedToNobody reports whether it is certain that the peer got nothing.
+func handedToNobody(err error) bool {
+	step, _ := fault.Origin(err)
+	return step == "connect" || step == "encode"
+}
+
 // serve answers what a peer asks.
 func (p *peers) serve(ctx context.Context, m *wire.Message) *wire.Message {
 	switch {
--- /dev/null
+++ b/leafcall/observe.go
@@ -0,0 +1,21 @@
+package leafcall
+
+import "github.com/figmast/figmast/policy"
+
+// Observed returns what the result tells the policy about the server.
+func (r Result) Observed() policy.Result {
+	switch r.Status {
+	case OK, SnapshotGone, Rejected:
+		return policy.ResultOK
+	case Shed:
+		return policy.ResultShed
+	case NotSent:
+		return policy.ResultFailed
+	case Timeout:
+		return policy.ResultTimeout
+	case Cancelled:
+		return policy.ResultCancelled
+	default:
+		return policy.ResultBroken
+	}
+}
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -125,6 +125,7 @@
 	r.commands[id] = done
 	r.runCommand(acts)
 	r.mu.Unlock()
+	r.nudge()
 	select {
 	case f := <-done:
 		return f.Answer, f.Problem
@@ -133,11 +134,33 @@
 	}
 }
 
-// Mint returns a ticket for one command of the service.
-func (r *Runner) Mint(service string) command.Ticket {
+// Mint returns a ticket for one command of the service, or why there is none.
+func (r *Runner) Mint(service string) (command.Ticket, *figmast.Problem) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.opts.Commands.Mint(r.opts.Clock(), service)
+	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
+}
+
+// drainPoll is how often DrainCommands looks whether commands still run.
+const drainPoll = 10 * time.Millisecond
+
+// DrainCommands takes no more commands and waits until none runs and
+// no caller waits, or ctx has ended. It returns what the engine then holds, which is forgotten
+// when the process ends.
+func (r *Runner) DrainCommands(ctx context.Context) command.Stats {
+	for {
+		r.mu.Lock()
+		r.opts.Commands.Close()
+		s := r.opts.Commands.Stats()
+		r.mu.Unlock()
+		if s.Running+s.Waiting == 0 || ctx.Err() != nil {
+			return s
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+		}
+	}
 }
 
 // Run fires timers until Stop.
@@ -163,11 +186,15 @@
 func (r *Runner) untilNext() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next, ok := r.opts.Queries.Next()
-	if !ok {
-		return idleTick
+	wait := idleTick
+	now := r.opts.Clock()
+	if next, ok := r.opts.Queries.Next(); ok {
+		wait = min(wait, next.Sub(now))
+	}
+	if next, ok := r.opts.Commands.Next(); ok {
+		wait = min(wait, next.Sub(now))
 	}
-	return min(max(next.Sub(r.opts.Clock()), 0), idleTick)
+	return max(wait, 0)
 }
 
 func (r *Runner) tick() {
--- a/types.go
+++ b/types.go
@@ -99,8 +99,12 @@
 // TicketAnswer is a ticket for one command. Only the process that minted the
 // ticket runs it, and only before Expires.
 type TicketAnswer struct {
-	Ticket  string    `json:"ticket"`
+	Ticket string `json:"ticket"`
+	// Expires is until when the ticket may be used, on the wall clock.
 	Expires time.Time `json:"expires"`
+	// LifetimeMs is how long it may be used from when it was asked for, in
+	// milliseconds, for callers whose clock may step.
+	LifetimeMs int64 `json:"lifetime_ms"`
 }
 
 // CommandRequest asks one leaf to do something that may not be done twice.
@@ -111,7 +115,8 @@
 	ShardKey string `json:"shard_key"`
 	// Ticket makes a resend through any host safe; see docs/design/command.md.
 	Ticket string `json:"ticket,omitempty"`
-	// Key is the idempotency key of a command without a ticket, a UUIDv7.
+	// Key is refused, with the reason: an idempotency key without a ticket
+	// cannot be run at most once; see docs/design/command.md.
 	Key string `json:"key,omitempty"`
 	// Payload is handed to the leaf unchanged.
 	Payload json.RawMessage `json:"payload,omitempty"`
@@ -141,15 +146,27 @@
 	Peer      string `json:"peer,omitempty"`
 	// Field names the input that a 4xx refuses.
 	Field string `json:"field,omitempty"`
-	// Outcome tells what became of the request.
+	// Outcome tells what became of the request; of a command with a ticket,
+	// however often and through whichever hosts it was sent.
 	Outcome Outcome `json:"outcome"`
+	// Unhandled is set when this sending of a command was passed to nobody
+	// and never will be. If all sendings of a ticket were answered so, the
+	// command has not run.
+	Unhandled bool `json:"unhandled,omitempty"`
 	// RetryAfterMs is when coming back helps, in milliseconds; 0 means that
 	// it does not. The Retry-After header holds it in whole seconds.
 	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
 	// Coverage is what had been gathered when a query fell short.
 	Coverage float64 `json:"coverage,omitempty"`
+
+	// cause is what the client library met.
+	cause error
 }
 
+// Unwrap returns what the client library met: the error of the context or of
+// the last host asked, or nil.
+func (p *Problem) Unwrap() error { return p.cause }
+
 // Error returns the problem in one line.
 func (p *Problem) Error() string {
 	s := p.Title
