--- a/traffic/runner_test.go
+++ b/traffic/runner_test.go
@@ -131,7 +131,8 @@
 		r := newRunner(t, &carrier{delay: 100 * time.Millisecond})
 		gone, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 		defer cancel()
-		ticket := r.Mint("route-search")
+		ticket, refused := r.Mint("route-search")
+		is.True(refused == nil)
 		req := command.Request{
 			ID: "c1", Service: "route-search", Operation: "book", ShardKey: "k",
 			Ticket: ticket.String(), Deadline: time.Now().Add(time.Second),
