Operators' command, time line of requests, metrics for each host

A leaving host answers until the balancer has moved on, and closes each connection with its answer; it had refused everything.

--- a/api/api.go
+++ b/api/api.go
@@ -3,16 +3,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
-	"math"
 	"net/http"
-	"strconv"
+	"runtime/debug"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 
 	figmast "github.com/figmast/figmast"
@@ -22,13 +19,6 @@
 	"github.com/figmast/figmast/view"
 )
 
-// Limits on what a caller may send.
-const (
-	MaxBodyBytes    = 1 << 20
-	maxRequestIDLen = 128
-	maxKeyLen       = 256
-)
-
 // Backend serves decoded requests.
 type Backend interface {
 	Query(ctx context.Context, r query.Request) (*figmast.QueryAnswer, *figmast.Problem)
@@ -45,8 +35,13 @@
 	View func() *view.View
 	// Clock returns the host's time.
 	Clock func() time.Time
-	// Draining reports whether the host takes no new requests.
+	// Draining reports whether the host is leaving. It still answers, and
+	// closes each connection with its answer.
 	Draining func() bool
+	// Log gets what is wrong with the host itself.
+	Log *log.Logger
+	// Metrics gets the handler's metrics.
+	Metrics *metrics.Set
 }
 
 type server struct{ Options }
@@ -54,24 +49,53 @@
 // NewHandler returns the callers' interface.
 func NewHandler(opts Options) http.Handler {
 	s := &server{opts}
-	r := mux.NewRouter()
+	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/services/{service}/query", s.query).Methods(http.MethodPost)
 	r.HandleFunc("/v1/services/{service}/tickets", s.ticket).Methods(http.MethodPost)
 	r.HandleFunc("/v1/services/{service}/command", s.command).Methods(http.MethodPost)
 	r.NotFoundHandler = http.HandlerFunc(s.notFound)
 	r.MethodNotAllowedHandler = http.HandlerFunc(s.notAllowed)
-	return r
+	return s.guard(r)
+}
+
+// guard bounds how long a caller may take to send a body, answers a request
+// whose handling panics, and sends callers of a leaving host away with their
+// answers.
+func (s *server) guard(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := http.NewResponseController(w)
+		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = c.SetWriteDeadline(time.Time{})
+		if s.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.panicked(w, r, cause)
+			}
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *server) panicked(w http.ResponseWriter, r *http.Request, cause any) {
+	id, _ := requestID(r)
+	s.Log.Error("request panicked", "step", "serve", "request", id, "path", r.URL.Path, "err", cause, "stack", string(debug.Stack()))
+	s.Metrics.GetOrCreateCounter("figmast_panics_total").Inc()
+	s.refuse(w, id, &figmast.Problem{
+		Title: "internal error", Status: http.StatusInternalServerError, Step: "serve", Outcome: figmast.Unknown,
+	})
 }
 
 // call is what every request shares.
 type call struct {
-	id       string
 	doc      *document.Service
 	op       document.Operation
 	deadline time.Time
 }
 
 func (s *server) query(w http.ResponseWriter, r *http.Request) {
+	arrived := s.Clock()
 	var body figmast.QueryRequest
 	id, p := s.open(w, r, &body)
 	if p == nil {
@@ -79,7 +103,7 @@
 	}
 	var c call
 	if p == nil {
-		c, p = s.prepare(r, id, body.Operation, document.Query)
+		c, p = s.prepare(r, arrived, body.Operation, document.Query)
 	}
 	if p != nil {
 		s.refuse(w, id, p)
@@ -93,6 +117,7 @@
 }
 
 func (s *server) command(w http.ResponseWriter, r *http.Request) {
+	arrived := s.Clock()
 	var body figmast.CommandRequest
 	id, p := s.open(w, r, &body)
 	if p == nil {
@@ -100,7 +125,7 @@
 	}
 	var c call
 	if p == nil {
-		c, p = s.prepare(r, id, body.Operation, document.Command)
+		c, p = s.prepare(r, arrived, body.Operation, document.Command)
 	}
 	if p != nil {
 		s.refuse(w, id, p)
@@ -114,10 +139,14 @@
 	s.finish(w, id, ans, ans != nil, p)
 }
 
+// ticket mints a ticket; a body is not needed and not read.
 func (s *server) ticket(w http.ResponseWriter, r *http.Request) {
-	id := requestID(r)
+	id, p := requestID(r)
 	name := mux.Vars(r)["service"]
-	if p := s.ready(name); p != nil {
+	if p == nil {
+		_, p = s.service(name)
+	}
+	if p != nil {
 		s.refuse(w, id, p)
 		return
 	}
@@ -125,115 +154,33 @@
 	s.write(w, http.StatusOK, "application/json", figmast.TicketAnswer{Ticket: t.String(), Expires: t.Expires()})
 }
 
-// open reads the request id and the body.
-func (s *server) open(w http.ResponseWriter, r *http.Request, body any) (string, *figmast.Problem) {
-	id := requestID(r)
-	if len(id) > maxRequestIDLen {
-		return id[:maxRequestIDLen], invalid(figmast.HeaderRequestID, fmt.Sprintf("longer than %d bytes", maxRequestIDLen))
-	}
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(body); err != nil {
-		return id, bodyProblem(err)
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return id, invalid("body", "more than one JSON value")
-	}
-	return id, nil
-}
-
-func bodyProblem(err error) *figmast.Problem {
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		p := invalid("body", fmt.Sprintf("larger than %d bytes", large.Limit))
-		p.Status = http.StatusRequestEntityTooLarge
-		return p
-	}
-	var wrong *json.UnmarshalTypeError
-	if errors.As(err, &wrong) {
-		return invalid(wrong.Field, "a "+wrong.Value+" where a "+wrong.Type.String()+" belongs")
-	}
-	return invalid("body", err.Error())
-}
-
-func requestID(r *http.Request) string {
-	if id := r.Header.Get(figmast.HeaderRequestID); id != "" {
-		return id
-	}
-	return uuid.NewString()
-}
-
-func checkValues(u figmast.Urgency, worth float64) *figmast.Problem {
-	switch u {
-	case "", figmast.Urgent, figmast.Normal, figmast.Bulk:
-	default:
-		return invalid("urgency", "none of urgent, normal, bulk")
-	}
-	if worth < 0 || math.IsNaN(worth) || math.IsInf(worth, 0) {
-		return invalid("worth", "below 0")
-	}
-	return nil
-}
-
-func checkCommand(c figmast.CommandRequest) *figmast.Problem {
-	switch {
-	case c.ShardKey == "":
-		return invalid("shard_key", "missing")
-	case len(c.ShardKey) > maxKeyLen:
-		return invalid("shard_key", fmt.Sprintf("longer than %d bytes", maxKeyLen))
-	case c.Ticket == "":
-		return invalid("ticket", "missing")
-	}
-	return checkValues(c.Urgency, c.Worth)
-}
-
-// ready tells why no request for the service is taken, or nil.
-func (s *server) ready(name string) *figmast.Problem {
+// service returns the document in force, or why no request is taken.
+func (s *server) service(name string) (*document.Service, *figmast.Problem) {
 	v := s.View()
-	switch {
-	case s.Draining():
-		return unavailable("the host is leaving", "admit")
-	case v == nil:
-		return unavailable("the host has no configuration yet", "admit")
-	case v.Services[name] == nil:
-		p := invalid("service", "unknown: "+name)
-		p.Status = http.StatusNotFound
-		return p
+	if v == nil {
+		return nil, unavailable("the host has no configuration yet", "admit")
+	}
+	doc := v.Services[name]
+	if doc == nil {
+		return nil, withStatus(invalid("service", "unknown: "+clip(name)), http.StatusNotFound)
 	}
-	return nil
+	return doc, nil
 }
 
-func (s *server) prepare(r *http.Request, id, operation string, kind document.Kind) (call, *figmast.Problem) {
-	name := mux.Vars(r)["service"]
-	if p := s.ready(name); p != nil {
+func (s *server) prepare(r *http.Request, arrived time.Time, operation string, kind document.Kind) (call, *figmast.Problem) {
+	doc, p := s.service(mux.Vars(r)["service"])
+	if p != nil {
 		return call{}, p
 	}
-	doc := s.View().Services[name]
 	op, ok := doc.Operation(operation)
 	if !ok || op.Kind != kind {
-		return call{}, invalid("operation", fmt.Sprintf("%q is no %s of the service", operation, kind))
+		return call{}, invalid("operation", fmt.Sprintf("%q is no %s of the service", clip(operation), kind))
 	}
 	left, p := timeLeft(r, op)
 	if p != nil {
 		return call{}, p
 	}
-	return call{id: id, doc: doc, op: op, deadline: s.Clock().Add(left)}, nil
-}
-
-func timeLeft(r *http.Request, op document.Operation) (time.Duration, *figmast.Problem) {
-	text := r.Header.Get(figmast.HeaderDeadline)
-	if text == "" {
-		return op.Deadline.Std(), nil
-	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 {
-		return 0, invalid(figmast.HeaderDeadline, "not a number of milliseconds above 0")
-	}
-	limit := op.MaxDeadline.Std()
-	if ms > limit.Milliseconds() {
-		return 0, invalid(figmast.HeaderDeadline, fmt.Sprintf("above the operation's limit of %v", limit))
-	}
-	return time.Duration(ms) * time.Millisecond, nil
+	return call{doc: doc, op: op, deadline: arrived.Add(left)}, nil
 }
 
 func orUrgency(u figmast.Urgency, op document.Operation) figmast.Urgency {
@@ -251,9 +198,12 @@
 }
 
 func (s *server) notFound(w http.ResponseWriter, r *http.Request) {
-	s.refuse(w, requestID(r), &figmast.Problem{Title: "no such path", Status: http.StatusNotFound, Outcome: figmast.NotRun})
+	id, _ := requestID(r)
+	s.refuse(w, id, &figmast.Problem{Title: "no such path", Status: http.StatusNotFound, Step: "route", Outcome: figmast.NotRun})
 }
 
 func (s *server) notAllowed(w http.ResponseWriter, r *http.Request) {
-	s.refuse(w, requestID(r), &figmast.Problem{Title: "method not allowed", Status: http.StatusMethodNotAllowed, Outcome: figmast.NotRun})
+	id, _ := requestID(r)
+	w.Header().Set("Allow", http.MethodPost)
+	s.refuse(w, id, &figmast.Problem{Title: "method not allowed", Status: http.StatusMethodNotAllowed, Step: "route", Outcome: figmast.NotRun})
 }
--- a/api/respond.go
+++ b/api/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,6 +21,11 @@
 	}
 }
 
+func withStatus(p *figmast.Problem, status int) *figmast.Problem {
+	p.Status = status
+	return p
+}
+
 func unavailable(title, step string) *figmast.Problem {
 	return &figmast.Problem{
 		Title: title, Status: http.StatusServiceUnavailable, Step: step,
@@ -39,6 +45,7 @@
 
 func (s *server) refuse(w http.ResponseWriter, id string, p *figmast.Problem) {
 	p.RequestID = id
+	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`figmast_problems_total{status="%d"}`, p.Status)).Inc()
 	if p.Type == "" {
 		p.Type = "about:blank"
 	}
@@ -58,6 +65,7 @@
 		status = http.StatusInternalServerError
 		b = []byte(`{"type":"about:blank","title":"the answer cannot be encoded","status":500,"outcome":"unknown"}`)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
 	h.Set("Content-Type", contentType)
 	h.Set(figmast.HeaderHost, s.Host)
--- /dev/null
+++ b/cmd/figmast/http.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	figmast "github.com/figmast/figmast"
+)
+
+// callTimeout bounds one HTTP call of the command.
+const callTimeout = 15 * time.Second
+
+// maxAnswerBytes bounds an answer that the command reads.
+const maxAnswerBytes = 64 << 20
+
+// httpClient is shared by all calls, so that connections are kept.
+var httpClient = &http.Client{
+	Timeout:   callTimeout,
+	Transport: &http.Transport{MaxIdleConnsPerHost: 256},
+}
+
+// get reads JSON from a host.
+func get(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	return do(req, out)
+}
+
+// post sends JSON to a host. A refusal is a *figmast.Problem.
+func post(ctx context.Context, url, requestID string, body, out any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if requestID != "" {
+		req.Header.Set(figmast.HeaderRequestID, requestID)
+	}
+	return do(req, out)
+}
+
+func do(req *http.Request, out any) error {
+	resp, err := httpClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return json.Unmarshal(text, out)
+	}
+	var p figmast.Problem
+	if json.Unmarshal(text, &p) == nil && p.Title != "" {
+		return &p
+	}
+	return fmt.Errorf("%s: %s", req.URL, resp.Status)
+}
+
+// asProblem returns the refusal in err, or nil.
+func asProblem(err error) *figmast.Problem {
+	var p *figmast.Problem
+	if errors.As(err, &p) {
+		return p
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/figmast/status.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/figmast/figmast/daemon"
+)
+
+// statusArgs shows hosts and the documents that they have in force.
+type statusArgs struct {
+	opsArgs
+}
+
+// hostReply is the status of one host in JSON.
+type hostReply struct {
+	Ops    string         `json:"ops"`
+	Error  string         `json:"error,omitempty"`
+	Status *daemon.Status `json:"status,omitempty"`
+}
+
+func (a *statusArgs) run(ctx context.Context, out *printer) error {
+	replies := askAll[daemon.Status](ctx, a.Ops, "/v1/status", nil)
+	var failed error
+	for _, r := range replies {
+		if r.err != nil {
+			failed = errFailed
+		}
+	}
+	if out.json {
+		return errors.Join(out.value(hostReplies(replies)), failed)
+	}
+	printHosts(out, replies)
+	printServices(out, replies)
+	printCold(out, replies)
+	printUnasked(out, replies)
+	return failed
+}
+
+// printUnasked names hosts that others know and that were not asked.
+func printUnasked(out *printer, replies []reply[daemon.Status]) {
+	known := make(map[string]bool)
+	for _, r := range replies {
+		for _, id := range r.value.Hosts {
+			known[id] = true
+		}
+	}
+	for _, r := range replies {
+		delete(known, r.value.Host)
+	}
+	if len(known) > 0 {
+		out.printf("\nknown to these hosts, but not asked: %s", strings.Join(slices.Sorted(maps.Keys(known)), ", "))
+	}
+}
+
+func hostReplies(replies []reply[daemon.Status]) []hostReply {
+	var list []hostReply
+	for _, r := range replies {
+		h := hostReply{Ops: r.address}
+		if r.err != nil {
+			h.Error = r.err.Error()
+		} else {
+			h.Status = &r.value
+		}
+		list = append(list, h)
+	}
+	return list
+}
+
+func printHosts(out *printer, replies []reply[daemon.Status]) {
+	var rows []string
+	for _, r := range replies {
+		s := r.value
+		if r.err != nil {
+			rows = append(rows, fmt.Sprintf("?\t?\t%s\tno answer: %v\t\t", r.address, r.err))
+			continue
+		}
+		state := "ready"
+		if !s.Ready {
+			state = "not ready: " + s.Unready
+		}
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d ms\t%d", s.Host, s.DataCentre, r.address, state, s.AgeMs, len(s.Hosts)))
+	}
+	out.table("HOST\tDATA CENTRE\tOPS\tSTATE\tVIEW AGE\tHOSTS KNOWN", rows)
+}
+
+// printServices prints one row for each document in force; hosts that differ
+// get rows of their own.
+func printServices(out *printer, replies []reply[daemon.Status]) {
+	var rows []string
+	hosts := make(map[string][]string)
+	for _, r := range replies {
+		for _, s := range r.value.Services {
+			row := fmt.Sprintf("%s\t%d\t%s\t%d\t%d\t%s\t%s", s.Name, s.Version, s.Snapshot, s.Leaves, s.Servers,
+				orDash(s.DataCentresOut), orDash(s.Leaving))
+			if hosts[row] == nil {
+				rows = append(rows, row)
+			}
+			hosts[row] = append(hosts[row], r.value.Host)
+		}
+	}
+	for i, row := range rows {
+		rows[i] = row + "\t" + strings.Join(hosts[row], ",")
+	}
+	if len(rows) > 0 {
+		out.printf("")
+		out.table("SERVICE\tVERSION\tSNAPSHOT\tLEAVES\tSERVERS\tOUT\tLEAVING\tIN FORCE ON", rows)
+	}
+}
+
+func printCold(out *printer, replies []reply[daemon.Status]) {
+	var rows []string
+	for _, r := range replies {
+		for _, c := range r.value.Cold {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d ms ago", c.Service, c.Server, r.value.Host, c.AgoMs))
+		}
+	}
+	if len(rows) > 0 {
+		out.printf("")
+		out.table("COLD: SERVICE\tSERVER\tSEEN BY\tLAST", rows)
+	}
+}
+
+func orDash(list []string) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	return strings.Join(list, ",")
+}
--- a/cmd/figmastd/main.go
+++ b/cmd/figmastd/main.go
@@ -4,11 +4,13 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/charmbracelet/log"
 
 	"github.com/figmast/figmast/daemon"
 )
@@ -31,23 +33,37 @@
 }
 
 func run(s daemon.Settings) int {
+	logger := daemon.NewLogger(os.Stderr, s)
+	captureStandardLog(logger)
 	app := daemon.New(s, os.Stderr)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	ended := app.Wait()
 	if err := app.Start(context.Background()); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		daemon.LogFailure(logger, "host not started", err)
 		return exitFailed
 	}
-	<-signals
-	go func() {
-		<-signals
-		os.Exit(exitFailed)
-	}()
+	first := <-ended
+	go exitOnSignal(logger)
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	return 0
+	return first.ExitCode
+}
+
+// exitOnSignal ends the process without a drain, for an operator's second
+// signal.
+func exitOnSignal(l *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	sig := <-signals
+	l.Error("stopped at once by a second signal", "signal", sig)
+	os.Exit(exitFailed)
+}
+
+// captureStandardLog makes JSON lines of what libraries log.
+func captureStandardLog(l *log.Logger) {
+	w := l.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}).Writer()
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(w)
 }
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 	"go.uber.org/fx"
@@ -29,8 +30,8 @@
 	"github.com/figmast/figmast/traffic"
 )
 
-// timelineSize is how many events a host keeps.
-const timelineSize = 1 << 16
+// timelineSize is how many events of requests a host keeps.
+const timelineSize = 1 << 17
 
 // Host is one running host of the query tier.
 type Host struct {
@@ -44,14 +45,16 @@
 	callers  *http.Server
 	ops      *http.Server
 	draining atomic.Bool
+	shutdown fx.Shutdowner
 }
 
 // New returns the fx application of a host. Logs go to w.
 func New(s Settings, w io.Writer) *fx.App {
 	return fx.New(
-		fx.Supply(s, newLogger(w, s)),
+		fx.Supply(s, NewLogger(w, s)),
 		fx.Provide(newHost),
-		fx.Invoke(func(lc fx.Lifecycle, h *Host) {
+		fx.Invoke(func(lc fx.Lifecycle, h *Host, shutdown fx.Shutdowner) {
+			h.shutdown = shutdown
 			lc.Append(fx.Hook{OnStart: h.Start, OnStop: h.Stop})
 		}),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -68,6 +71,9 @@
 		return nil, err
 	}
 	h := &Host{settings: s, log: logger}
+	set := metrics.NewSet()
+	events := timeline.NewRing(s.Host, timelineSize, time.Now)
+	rec := newRecorder(set, events, logger)
 	router := policy.NewRouter(policy.Options{Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))})
 	var last leafcall.ID
 	next := func() leafcall.ID { last++; return last }
@@ -79,27 +85,38 @@
 		Commands: command.NewEngine(command.Options{
 			Router: router, NextCall: next, Key: key, Incarnation: uuid.NewString(), Lifetime: s.TicketLife,
 		}),
-		Carrier: h.pool, Forwarder: h.peers, Clock: clock.Now,
+		Carrier: h.pool, Forwarder: h.peers, Clock: clock.Now, Recorder: rec,
 	})
 	h.peers.runner = h.runner
 	h.client = platform.NewClient(s.Platform)
-	events := timeline.NewRing(s.Host, timelineSize, time.Now)
 	h.control = newController(s, h.client, h.runner, logger, events)
-	h.callers = &http.Server{ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Handler: api.NewHandler(api.Options{
-		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now, Draining: h.draining.Load,
-	})}
-	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining}
-	h.ops = &http.Server{ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Handler: o.handler()}
+	h.callers = h.newServer(api.NewHandler(api.Options{
+		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now,
+		Draining: h.draining.Load, Log: logger, Metrics: set,
+	}))
+	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, cold: &rec.cold}
+	o.gauges()
+	h.ops = h.newServer(o.handler())
 	return h, nil
 }
 
 // Limits on requests of callers and operators.
 const (
 	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
 )
 
-// Start opens the listeners and begins to follow the platform.
+func (h *Host) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog:       h.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
+	}
+}
+
+// Start opens the listeners and begins to follow the platform. On an error
+// nothing is left open.
 func (h *Host) Start(context.Context) error {
 	t, err := peer.Listen(peer.Options{Address: h.settings.PeerListen, TLS: h.settings.credentials().Load, Handler: h.peers.serve})
 	if err != nil {
@@ -114,37 +131,24 @@
 	}
 	go h.runner.Run()
 	h.control.start()
-	h.log.Info("host started", "callers", h.settings.CallerListen, "peers", t.Address())
+	h.log.Info("host started", "callers", h.settings.CallerListen, "ops", h.settings.OpsListen, "peers", t.Address())
 	return nil
 }
 
+// listen serves until the server is closed; a listener that fails ends the
+// host.
 func (h *Host) listen(s *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			h.log.Error("listener failed", "address", address, "err", err)
+		err := s.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return
 		}
+		h.log.Error("listener failed", "step", "accept", "address", address, "err", err)
+		_ = h.shutdown.Shutdown(fx.ExitCode(1))
 	}()
 	return nil
 }
-
-// Stop drains the host: it reports not ready, waits for the balancer,
-// finishes every request, and closes.
-func (h *Host) Stop(ctx context.Context) error {
-	h.draining.Store(true)
-	h.log.Info("draining", "wait", h.settings.DrainWait)
-	pause(ctx, h.settings.DrainWait)
-	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
-	defer cancel()
-	err := h.callers.Shutdown(limited)
-	h.runner.Stop()
-	h.control.stop()
-	h.pool.Close()
-	h.client.Close()
-	err = errors.Join(err, h.peers.transport.Close(), h.ops.Close())
-	h.log.Info("host stopped")
-	return err
-}
--- a/daemon/log.go
+++ b/daemon/log.go
@@ -17,8 +17,8 @@
 	return level, nil
 }
 
-// newLogger writes JSON lines.
-func newLogger(w io.Writer, s Settings) *log.Logger {
+// NewLogger returns the logger of a host: JSON lines to w.
+func NewLogger(w io.Writer, s Settings) *log.Logger {
 	level, err := parseLevel(s.LogLevel)
 	if err != nil {
 		level = log.InfoLevel
@@ -41,3 +41,6 @@
 	}
 	return fields
 }
+
+// LogFailure logs an error with the step and the peer that it carries.
+func LogFailure(l *log.Logger, msg string, err error) { l.Error(msg, origin(err)...) }
--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -2,37 +2,28 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"sort"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 
+	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/view"
 )
 
-// Status is what a host tells operators about itself.
-type Status struct {
-	Host       string          `json:"host"`
-	DataCentre string          `json:"data_centre"`
-	Ready      bool            `json:"ready"`
-	Draining   bool            `json:"draining"`
-	Hosts      []string        `json:"hosts"`
-	Services   []ServiceStatus `json:"services"`
-	// AgeMs is how long ago the view was confirmed, in milliseconds.
-	AgeMs int64 `json:"age_ms"`
-}
-
-// ServiceStatus is the document in force for one service.
-type ServiceStatus struct {
-	Name           string   `json:"name"`
-	Version        uint64   `json:"version"`
-	Snapshot       string   `json:"snapshot"`
-	DataCentresOut []string `json:"data_centres_out,omitempty"`
-}
+// Limits on what operators ask for.
+const (
+	defaultEvents = 1000
+	maxEvents     = 50_000
+	maxFilterLen  = 256
+)
 
 // ops serves health, metrics and operators.
 type ops struct {
@@ -40,56 +31,155 @@
 	view     func() *view.View
 	events   *timeline.Ring
 	draining *atomic.Bool
+	set      *metrics.Set
+	cold     *coldServers
 }
 
 func (o *ops) handler() http.Handler {
-	r := mux.NewRouter()
-	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	r.HandleFunc("/readyz", o.readyz)
-	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	r.HandleFunc("/v1/status", o.status)
-	r.HandleFunc("/v1/timeline", o.timeline)
+	r := mux.NewRouter().SkipClean(true)
+	get := func(path string, h http.HandlerFunc) { r.HandleFunc(path, h).Methods(http.MethodGet, http.MethodHead) }
+	get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	get("/readyz", o.readyz)
+	get("/metrics", o.metrics)
+	get("/v1/status", o.status)
+	get("/v1/timeline", o.timeline)
+	get("/v1/explain/{request:.+}", o.explain)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		o.refuse(w, http.StatusNotFound, "no such path", "")
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Allow", "GET, HEAD")
+		o.refuse(w, http.StatusMethodNotAllowed, "method not allowed", "")
+	})
 	return r
 }
 
-func (o *ops) ready() bool {
-	return !o.draining.Load() && o.view().Valid(clock.Now())
+// gauges registers what is read when metrics are asked for.
+func (o *ops) gauges() {
+	o.set.NewGauge("figmast_ready", func() float64 { return oneIf(o.unready() == "") })
+	o.set.NewGauge("figmast_draining", func() float64 { return oneIf(o.draining.Load()) })
+	o.set.NewGauge("figmast_hosts", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Hosts)) }) })
+	o.set.NewGauge("figmast_services", func() float64 {
+		return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Services)) })
+	})
+	o.set.NewGauge("figmast_view_age_seconds", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return age(v).Seconds() }) })
+	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.cold.list(time.Now()))) })
+}
+
+func ofView(v *view.View, f func(*view.View) float64) float64 {
+	if v == nil {
+		return 0
+	}
+	return f(v)
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// age returns how long ago the view was confirmed.
+func age(v *view.View) time.Duration {
+	if v.Confirmed.IsZero() {
+		return 0
+	}
+	return clock.Now().Sub(v.Confirmed)
+}
+
+// unready returns why the host takes no requests, or "".
+func (o *ops) unready() string {
+	v := o.view()
+	switch {
+	case o.draining.Load():
+		return "draining"
+	case v == nil:
+		return "no configuration yet"
+	case !v.Valid(clock.Now()):
+		return "the configuration view is stale"
+	}
+	return ""
 }
 
 func (o *ops) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !o.ready() {
-		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	if why := o.unready(); why != "" {
+		http.Error(w, "not ready: "+why, http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func (o *ops) status(w http.ResponseWriter, _ *http.Request) {
-	s := Status{Host: o.settings.Host, DataCentre: o.settings.DataCentre, Ready: o.ready(), Draining: o.draining.Load()}
-	if v := o.view(); v != nil {
-		fillStatus(&s, v)
+func (o *ops) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	o.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+func (o *ops) timeline(w http.ResponseWriter, r *http.Request) {
+	f, field, err := parseFilter(r)
+	if err != nil {
+		o.refuse(w, http.StatusBadRequest, err.Error(), field)
+		return
 	}
-	writeJSON(w, s)
+	writeJSON(w, o.events.Select(f))
 }
 
-func fillStatus(s *Status, v *view.View) {
-	s.AgeMs = clock.Now().Sub(v.Confirmed).Round(time.Millisecond).Milliseconds()
-	for _, h := range v.Hosts {
-		s.Hosts = append(s.Hosts, h.ID)
+// parseFilter reads a filter from the query string, or names the field at
+// fault.
+func parseFilter(r *http.Request) (timeline.Filter, string, error) {
+	q := r.URL.Query()
+	f := timeline.Filter{Service: q.Get("service"), Request: q.Get("request"), Server: q.Get("server"), Limit: defaultEvents}
+	for name := range q {
+		if len(q.Get(name)) > maxFilterLen {
+			return f, name, fmt.Errorf("%s: longer than %d bytes", name, maxFilterLen)
+		}
+		switch name {
+		case "service", "request", "server", "since", "limit":
+		default:
+			return f, name, fmt.Errorf("%.64q: unknown; known are service, request, server, since, limit", name)
+		}
 	}
-	for name, doc := range v.Services {
-		s.Services = append(s.Services, ServiceStatus{
-			Name: name, Version: doc.Version, DataCentresOut: doc.DataCentresOut,
-			Snapshot: doc.Snapshots[len(doc.Snapshots)-1].ID,
-		})
+	if text := q.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxEvents {
+			return f, "limit", fmt.Errorf("limit: not in 1 to %d", maxEvents)
+		}
+		f.Limit = n
 	}
+	if text := q.Get("since"); text != "" {
+		s, err := timeline.ParseStamp(text)
+		if err != nil {
+			return f, "since", fmt.Errorf("since: %w", err)
+		}
+		f.Since = s
+	}
+	return f, "", nil
+}
+
+func (o *ops) explain(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, o.events.Select(timeline.Filter{Request: mux.Vars(r)["request"], Limit: maxEvents}))
 }
 
-func (o *ops) timeline(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, o.events.Events())
+func (o *ops) refuse(w http.ResponseWriter, status int, title, field string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(figmast.Problem{
+		Type: "about:blank", Title: title, Status: status, Field: field,
+		Step: "operate", Peer: o.settings.Host, Outcome: figmast.NotRun,
+	})
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+func sortedServices(v *view.View) []string {
+	names := make([]string, 0, len(v.Services))
+	for name := range v.Services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/view"
+)
+
+// Status is what a host tells operators about itself.
+type Status struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	// Unready is why the host is not ready.
+	Unready  string `json:"unready,omitempty"`
+	Draining bool   `json:"draining"`
+	// Hosts are the ids of the hosts that this one knows, itself included.
+	Hosts []string `json:"hosts"`
+	// Peers are those hosts with their places.
+	Peers    []HostStatus    `json:"peers"`
+	Services []ServiceStatus `json:"services"`
+	// Cold are backend servers in cold start, as far as this host saw.
+	Cold []ColdServer `json:"cold,omitempty"`
+	// AgeMs is how long ago the view was confirmed, in milliseconds.
+	AgeMs int64 `json:"age_ms"`
+	// ValidMs is how long work may still be dispatched on the view if nothing
+	// confirms it, in milliseconds.
+	ValidMs int64 `json:"valid_ms"`
+}
+
+// HostStatus is a host as another one knows it.
+type HostStatus struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	Leaving    bool   `json:"leaving,omitempty"`
+}
+
+// ServiceStatus is the document in force for one service.
+type ServiceStatus struct {
+	Name           string   `json:"name"`
+	Version        uint64   `json:"version"`
+	Snapshot       string   `json:"snapshot"`
+	DataCentresOut []string `json:"data_centres_out,omitempty"`
+	// Leaving are backend servers that get no new work.
+	Leaving []string `json:"leaving,omitempty"`
+	Leaves  int      `json:"leaves"`
+	Servers int      `json:"servers"`
+}
+
+func (o *ops) status(w http.ResponseWriter, _ *http.Request) {
+	why := o.unready()
+	s := Status{
+		Host: o.settings.Host, DataCentre: o.settings.DataCentre, Draining: o.draining.Load(),
+		Ready: why == "", Unready: why, Cold: o.cold.list(time.Now()),
+	}
+	if v := o.view(); v != nil {
+		fillStatus(&s, v)
+	}
+	writeJSON(w, s)
+}
+
+func fillStatus(s *Status, v *view.View) {
+	s.AgeMs = age(v).Milliseconds()
+	s.ValidMs = max(v.ValidUntil.Sub(v.Confirmed)-age(v), 0).Milliseconds()
+	for _, h := range v.Hosts {
+		s.Hosts = append(s.Hosts, h.ID)
+		s.Peers = append(s.Peers, HostStatus{ID: h.ID, Address: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving})
+	}
+	for _, name := range sortedServices(v) {
+		s.Services = append(s.Services, serviceStatus(v.Services[name]))
+	}
+}
+
+func serviceStatus(doc *document.Service) ServiceStatus {
+	s := ServiceStatus{
+		Name: doc.Name, Version: doc.Version, DataCentresOut: doc.DataCentresOut,
+		Snapshot: doc.Snapshots[len(doc.Snapshots)-1].ID, Leaves: len(doc.Leaves),
+	}
+	for _, l := range doc.Leaves {
+		s.Servers += len(l.Servers)
+		for _, srv := range l.Servers {
+			if srv.Leaving {
+				s.Leaving = append(s.Leaving, srv.ID)
+			}
+		}
+	}
+	return s
+}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Kind says what an event is about.
+// Kind says what an event is about. Decisions on requests have the kinds of
+// package decision.
 type Kind string
 
 // Kinds of events.
@@ -31,41 +32,36 @@
 	Kind    Kind   `json:"kind"`
 	Service string `json:"service,omitempty"`
 	Request string `json:"request,omitempty"`
+	Leaf    string `json:"leaf,omitempty"`
 	Server  string `json:"server,omitempty"`
 	Peer    string `json:"peer,omitempty"`
 	Detail  string `json:"detail,omitempty"`
 }
 
-// Stamp is a hybrid logical clock: the wall clock in nanoseconds, and a
-// counter that orders what the wall clock cannot.
-type Stamp struct {
-	Wall    int64  `json:"wall_ns" cbor:"1,keyasint"`
-	Counter uint32 `json:"counter" cbor:"2,keyasint"`
-}
+// controlSize is how many events that belong to no request are kept.
+const controlSize = 4096
 
-// Before reports whether a is ordered before b.
-func (a Stamp) Before(b Stamp) bool {
-	if a.Wall != b.Wall {
-		return a.Wall < b.Wall
-	}
-	return a.Counter < b.Counter
-}
-
-// Ring is a host's record. It is safe for concurrent use.
+// Ring is a host's record. Events of requests and all others are kept apart,
+// so that traffic does not push out what happened to the host. It is safe for
+// concurrent use.
 type Ring struct {
 	host string
 	wall func() time.Time
 
-	mu     sync.Mutex
-	last   Stamp
-	events []Event
-	next   int
-	full   bool
+	mu       sync.Mutex
+	last     Stamp
+	control  buffer
+	requests buffer
 }
 
-// NewRing returns a record of the last size events of the host.
+// NewRing returns a record of the host that keeps the last size events of
+// requests, and the last controlSize others.
 func NewRing(host string, size int, wall func() time.Time) *Ring {
-	return &Ring{host: host, wall: wall, events: make([]Event, size)}
+	return &Ring{
+		host: host, wall: wall,
+		control:  buffer{events: make([]Event, controlSize)},
+		requests: buffer{events: make([]Event, size)},
+	}
 }
 
 // Add stamps the event and keeps it, in place of the oldest when full.
@@ -74,9 +70,11 @@
 	defer r.mu.Unlock()
 	e.Host = r.host
 	e.Stamp = r.stamp()
-	r.events[r.next] = e
-	r.next = (r.next + 1) % len(r.events)
-	r.full = r.full || r.next == 0
+	if e.Request == "" {
+		r.control.add(e)
+		return
+	}
+	r.requests.add(e)
 }
 
 func (r *Ring) stamp() Stamp {
@@ -106,12 +104,48 @@
 	}
 }
 
-// Events returns what is kept, oldest first.
-func (r *Ring) Events() []Event {
+// Events returns all that is kept, oldest first.
+func (r *Ring) Events() []Event { return r.Select(Filter{}) }
+
+// Select returns the newest events that pass the filter, oldest first.
+func (r *Ring) Select(f Filter) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.full {
-		return append([]Event(nil), r.events[:r.next]...)
+	found := r.requests.newest(f)
+	if f.Request == "" {
+		found = append(found, r.control.newest(f)...)
+	}
+	Sort(found)
+	if f.Limit > 0 && len(found) > f.Limit {
+		found = found[len(found)-f.Limit:]
+	}
+	return found
+}
+
+// buffer keeps the last len(events) events.
+type buffer struct {
+	events []Event
+	next   int
+	used   int
+}
+
+func (b *buffer) add(e Event) {
+	b.events[b.next] = e
+	b.next = (b.next + 1) % len(b.events)
+	b.used = min(b.used+1, len(b.events))
+}
+
+// newest returns what passes the filter, newest first.
+func (b *buffer) newest(f Filter) []Event {
+	var found []Event
+	for i := range b.used {
+		e := &b.events[(b.next-1-i+len(b.events))%len(b.events)]
+		if f.Limit > 0 && len(found) == f.Limit || !f.Since.Before(e.Stamp) {
+			break
+		}
+		if f.passes(e) {
+			found = append(found, *e)
+		}
 	}
-	return append(append([]Event(nil), r.events[r.next:]...), r.events[:r.next]...)
+	return found
 }
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -9,6 +9,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/command"
+	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/query"
@@ -38,6 +39,8 @@
 	Forwarder Forwarder
 	// Clock returns the host's time.
 	Clock func() time.Time
+	// Recorder is optional.
+	Recorder Recorder
 }
 
 // Runner drives the engines. It is safe for concurrent use.
@@ -57,6 +60,9 @@
 
 // NewRunner returns a Runner; Run must be called for timers to fire.
 func NewRunner(opts Options) *Runner {
+	if opts.Recorder == nil {
+		opts.Recorder = noRecorder{}
+	}
 	return &Runner{
 		opts:     opts,
 		queries:  make(map[query.RunID]chan query.Finish),
@@ -93,20 +99,33 @@
 // Query runs a query to its end. It returns an answer or a problem; both are
 // nil when ctx ended first.
 func (r *Runner) Query(ctx context.Context, req query.Request) (*figmast.QueryAnswer, *figmast.Problem) {
+	start := Start{Request: req.ID, Service: req.Service, Operation: req.Operation, Kind: document.Query}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan query.Finish, 1)
-	r.mu.Lock()
-	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
-	r.queries[id] = done
-	r.runQuery(acts)
-	r.mu.Unlock()
+	id := r.startQuery(req, done)
 	r.nudge()
+	var f query.Finish
 	select {
-	case f := <-done:
-		return f.Answer, f.Problem
+	case f = <-done:
 	case <-ctx.Done():
 		r.abandon(id)
-		return nil, nil
 	}
+	end := End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)}
+	if f.Answer != nil {
+		end.Coverage = f.Answer.Coverage
+	}
+	r.opts.Recorder.Ended(end)
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startQuery(req query.Request, done chan query.Finish) query.RunID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
+	r.queries[id] = done
+	r.runQuery(acts)
+	return id
 }
 
 func (r *Runner) abandon(id query.RunID) {
@@ -119,18 +138,29 @@
 // Command runs a command to its end. A caller that goes away does not stop
 // it; both results are nil then.
 func (r *Runner) Command(ctx context.Context, req command.Request) (*figmast.CommandAnswer, *figmast.Problem) {
+	start := Start{
+		Request: req.ID, Service: req.Service, Operation: req.Operation,
+		Kind: document.Command, Forwarded: req.Forwarded,
+	}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan command.Finish, 1)
+	r.startCommand(req, done)
+	var f command.Finish
+	select {
+	case f = <-done:
+	case <-ctx.Done():
+	}
+	r.opts.Recorder.Ended(End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)})
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startCommand(req command.Request, done chan command.Finish) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	id, acts := r.opts.Commands.Start(r.opts.Clock(), req)
 	r.commands[id] = done
 	r.runCommand(acts)
-	r.mu.Unlock()
-	select {
-	case f := <-done:
-		return f.Answer, f.Problem
-	case <-ctx.Done():
-		return nil, nil
-	}
 }
 
 // Mint returns a ticket for one command of the service.
@@ -185,6 +215,30 @@
 	}
 }
 
+// Drain waits until no request is in progress, or until ctx is done; then it
+// returns the cause.
+func (r *Runner) Drain(ctx context.Context) error {
+	for !r.idle() {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(drainPoll):
+		}
+	}
+	return nil
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 5 * time.Millisecond
+
+// idle reports whether no caller waits and no command runs. Calls of queries
+// that have been answered may still be ending.
+func (r *Runner) idle() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.queries) == 0 && len(r.commands) == 0
+}
+
 // Stop ends Run, gives up queries' calls and waits for all calls to end.
 func (r *Runner) Stop() {
 	close(r.stop)
@@ -199,6 +253,7 @@
 
 // runQuery carries out a query's actions. The caller holds mu.
 func (r *Runner) runQuery(a query.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
@@ -218,6 +273,7 @@
 
 // runCommand carries out a command's actions. The caller holds mu.
 func (r *Runner) runCommand(a command.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
@@ -241,7 +297,9 @@
 	go func() {
 		defer r.working.Done()
 		defer cancel()
+		began := r.opts.Clock()
 		res := r.opts.Carrier.Call(ctx, s)
+		r.opts.Recorder.CallEnded(s, res, r.opts.Clock().Sub(began))
 		r.reply(s, res)
 	}()
 }
