--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -10,6 +10,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/command"
+	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/query"
@@ -39,6 +40,8 @@
 	Forwarder Forwarder
 	// Clock returns the host's time.
 	Clock func() time.Time
+	// Recorder is optional.
+	Recorder Recorder
 }
 
 // Runner drives the engines. It is safe for concurrent use.
@@ -65,6 +68,9 @@
 
 // NewRunner returns a Runner; Run must be called for timers to fire.
 func NewRunner(opts Options) *Runner {
+	if opts.Recorder == nil {
+		opts.Recorder = noRecorder{}
+	}
 	return &Runner{
 		opts:     opts,
 		queries:  make(map[query.RunID]chan query.Finish),
@@ -102,20 +108,33 @@
 // Query runs a query to its end. It returns an answer or a problem; both are
 // nil when ctx ended first.
 func (r *Runner) Query(ctx context.Context, req query.Request) (*figmast.QueryAnswer, *figmast.Problem) {
+	start := Start{Request: req.ID, Service: req.Service, Operation: req.Operation, Kind: document.Query}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan query.Finish, 1)
-	r.mu.Lock()
-	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
-	r.queries[id] = done
-	r.runQuery(acts)
-	r.mu.Unlock()
+	id := r.startQuery(req, done)
 	r.nudge()
+	var f query.Finish
 	select {
-	case f := <-done:
-		return f.Answer, f.Problem
+	case f = <-done:
 	case <-ctx.Done():
 		r.abandon(id)
-		return nil, nil
 	}
+	end := End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)}
+	if f.Answer != nil {
+		end.Coverage = f.Answer.Coverage
+	}
+	r.opts.Recorder.Ended(end)
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startQuery(req query.Request, done chan query.Finish) query.RunID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
+	r.queries[id] = done
+	r.runQuery(acts)
+	return id
 }
 
 func (r *Runner) abandon(id query.RunID) {
@@ -128,19 +147,30 @@
 // Command runs a command to its end. A caller that goes away does not stop
 // it; both results are nil then.
 func (r *Runner) Command(ctx context.Context, req command.Request) (*figmast.CommandAnswer, *figmast.Problem) {
+	start := Start{
+		Request: req.ID, Service: req.Service, Operation: req.Operation,
+		Kind: document.Command, Forwarded: req.Forwarded,
+	}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan command.Finish, 1)
-	r.mu.Lock()
-	id, acts := r.opts.Commands.Start(r.opts.Clock(), req)
-	r.commands[id] = done
-	r.runCommand(acts)
-	r.mu.Unlock()
+	r.startCommand(req, done)
 	r.nudge()
+	var f command.Finish
 	select {
-	case f := <-done:
-		return f.Answer, f.Problem
+	case f = <-done:
 	case <-ctx.Done():
-		return nil, nil
 	}
+	r.opts.Recorder.Ended(End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)})
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startCommand(req command.Request, done chan command.Finish) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, acts := r.opts.Commands.Start(r.opts.Clock(), req)
+	r.commands[id] = done
+	r.runCommand(acts)
 }
 
 // Mint returns a ticket for one command of the service, or why there is none.
@@ -150,28 +180,35 @@
 	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
 }
 
-// drainPoll is how often DrainCommands looks whether commands still run.
-const drainPoll = 10 * time.Millisecond
+// drainPoll is how often Drain looks.
+const drainPoll = 5 * time.Millisecond
 
-// DrainCommands takes no more commands and waits until none runs and
-// no caller waits, or ctx has ended. It returns what the engine then holds, which is forgotten
-// when the process ends.
-func (r *Runner) DrainCommands(ctx context.Context) command.Stats {
+// Drain takes no more commands and waits until no caller waits and no command
+// runs, or until ctx is done; then it returns the cause. It tells what the
+// command engine then holds, which is forgotten when the process ends. Calls
+// of queries that have been answered may still be ending.
+func (r *Runner) Drain(ctx context.Context) (command.Stats, error) {
 	for {
-		r.mu.Lock()
-		r.opts.Commands.Close()
-		s := r.opts.Commands.Stats()
-		r.mu.Unlock()
-		if s.Running+s.Waiting == 0 || ctx.Err() != nil {
-			return s
+		held, idle := r.settled()
+		if idle {
+			return held, nil
 		}
 		select {
 		case <-time.After(drainPoll):
 		case <-ctx.Done():
+			return held, context.Cause(ctx)
 		}
 	}
 }
 
+func (r *Runner) settled() (held command.Stats, idle bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Commands.Close()
+	held = r.opts.Commands.Stats()
+	return held, len(r.queries) == 0 && len(r.commands) == 0 && held.Running+held.Waiting == 0
+}
+
 // Run fires timers until Stop.
 func (r *Runner) Run() {
 	timer := time.NewTimer(time.Hour)
@@ -243,6 +280,7 @@
 
 // runQuery carries out a query's actions. The caller holds mu.
 func (r *Runner) runQuery(a query.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
@@ -262,6 +300,7 @@
 
 // runCommand carries out a command's actions. The caller holds mu.
 func (r *Runner) runCommand(a command.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
@@ -285,7 +324,9 @@
 	go func() {
 		defer r.working.Done()
 		defer cancel()
+		began := r.opts.Clock()
 		res := r.opts.Carrier.Call(ctx, s)
+		r.opts.Recorder.CallEnded(s, res, r.opts.Clock().Sub(began))
 		r.reply(s, res)
 	}()
 }
--- a/traffic/runner_test.go
+++ b/traffic/runner_test.go
@@ -67,7 +67,7 @@
 	r := traffic.NewRunner(traffic.Options{
 		Router:   router,
 		Queries:  query.NewEngine(query.Options{Router: router, NextCall: next}),
-		Commands: command.NewEngine(command.Options{Router: router, NextCall: next, Key: []byte("k"), Lifetime: time.Minute}),
+		Commands: command.NewEngine(command.Options{Router: router, NextCall: next, Host: "h1", Incarnation: "i1", Key: []byte("k"), Lifetime: time.Minute}),
 		Carrier:  c,
 		Clock:    time.Now,
 	})
