Control state as a state machine over platform and peers

Cause: each host watched the platform on its own, lost its view three seconds after the platform fell silent, and knew nothing that its peers knew.

control.State takes the platform's news, peers' questions and answers and the time, and gives back what is to be done. Two hosts of each data centre watch the platform; the rest follow in a tree by held questions, whose answers carry changes and the age of the last word from the platform. A host without the platform serves on while more than half of the hosts are without news too. Documents are ordered by creation of the key, version and first publication, whatever the order in which a host hears of them; a removed service stays away because a table is complete up to its revision.

The types of published values stand in package platform, which does no I/O now; the client is platform/client. Views that differ in their validity only are put in force by Runner.RenewView, without a new plan of connections.

--- /dev/null
+++ b/control/order.go
@@ -0,0 +1,25 @@
+package control
+
+// Order says which of two documents of a service is in force. It is total, and
+// it does not depend on the order in which a host hears of them.
+type Order struct {
+	// Created is the platform's revision at which the key was created. A
+	// service that was removed and published again starts anew.
+	Created int64 `cbor:"1,keyasint"`
+	// Version of the document; 0 while none was accepted since Created.
+	Version uint64 `cbor:"2,keyasint"`
+	// Revision at which the document was published. Of two documents with one
+	// version the first holds; the second was refused.
+	Revision int64 `cbor:"3,keyasint"`
+}
+
+// After reports whether a document with order a replaces one with order b.
+func (a Order) After(b Order) bool {
+	if a.Created != b.Created {
+		return a.Created > b.Created
+	}
+	if a.Version != b.Version {
+		return a.Version > b.Version
+	}
+	return a.Revision < b.Revision
+}
--- /dev/null
+++ b/control/reader.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"time"
+
+	"github.com/figmast/figmast/platform"
+)
+
+// Intervals of asking the platform.
+const (
+	// checkEvery is how often a watcher asks for the newest revision.
+	checkEvery = 500 * time.Millisecond
+	// lateEvery is how often any other host does while it hears of the
+	// platform through no peer.
+	lateEvery = time.Second
+	// lateAfter is the age of a confirmation from which it does.
+	lateAfter = time.Second
+	// CheckTimeout and ReadTimeout bound the two calls.
+	CheckTimeout = time.Second
+	ReadTimeout  = 5 * time.Second
+)
+
+// reader is what a host asks of the platform.
+type reader struct {
+	// calling is set while a call is under way; at most one is.
+	calling  bool
+	nextCall time.Time
+	// loaded is set once everything was read.
+	loaded bool
+	// behind is the newest revision seen at the platform.
+	behind int64
+}
+
+// readPlatform asks the platform when it is time.
+func (s *State) readPlatform(now time.Time) {
+	r := &s.reader
+	watcher := s.watches(now)
+	late := now.Sub(s.confirmed) > lateAfter
+	if r.calling || now.Before(r.nextCall) || !watcher && !late {
+		return
+	}
+	r.calling = true
+	if !r.loaded || r.behind > s.table.revision {
+		s.out.Read = true
+		r.nextCall = now.Add(lateEvery)
+		return
+	}
+	s.out.Check = true
+	r.nextCall = now.Add(lateEvery)
+	if watcher {
+		r.nextCall = now.Add(checkEvery)
+	}
+}
+
+// Watching reports whether this host is to watch the platform now, and the
+// revision to watch from.
+func (s *State) Watching(now time.Time) (from int64, ok bool) {
+	return s.table.revision + 1, s.reader.loaded && s.watches(now)
+}
+
+// PlatformFailed reports that a call to the platform failed.
+func (s *State) PlatformFailed() { s.reader.calling = false }
+
+// PlatformAt reports the platform's newest revision, asked for at a time.
+func (s *State) PlatformAt(asked time.Time, revision int64) {
+	s.reader.calling = false
+	s.platformAt(asked, revision)
+}
+
+// platformAt confirms the table if the platform is where the table is. A
+// platform that is behind it answers from an old state, which says nothing
+// about the present.
+func (s *State) platformAt(asked time.Time, revision int64) {
+	if revision == s.table.revision {
+		s.confirm(asked)
+	}
+	if revision > s.reader.behind && revision > s.table.revision {
+		s.reader.behind = revision
+		s.reader.nextCall = asked.Add(changeGrace)
+	}
+}
+
+// changeGrace is how long a watcher waits for the watch to bring what a check
+// saw, before it reads everything.
+const changeGrace = 200 * time.Millisecond
+
+// PlatformRead reports everything that the platform holds, asked for at a
+// time.
+func (s *State) PlatformRead(asked time.Time, all *platform.RangeResponse) {
+	s.reader.calling = false
+	s.reader.loaded = true
+	s.fresh.platform = true
+	for _, kv := range all.Kvs {
+		s.putValue(kv)
+	}
+	if revision := int64(all.Header.Revision); revision > s.table.revision {
+		s.dropMissing(revision, all.Kvs)
+		s.table.revision = revision
+	}
+	s.platformAt(asked, int64(all.Header.Revision))
+}
+
+func (s *State) putValue(kv platform.KeyValue) {
+	before := s.table.hash()
+	v := s.table.put(kv)
+	if v.Err != nil || s.table.hash() != before {
+		s.record(v)
+	}
+}
+
+func (s *State) dropMissing(revision int64, kvs []platform.KeyValue) {
+	services, hosts := make(map[string]bool), make(map[string]bool)
+	for _, kv := range kvs {
+		key := string(kv.Key)
+		if id, ok := hostKey(key); ok {
+			hosts[id] = true
+		} else if len(key) > len(platform.PrefixServices) {
+			services[key[len(platform.PrefixServices):]] = true
+		}
+	}
+	for _, key := range s.table.prune(revision, services, hosts) {
+		s.removedKey(key)
+	}
+}
+
+// PlatformChanged takes in changes that a watch reports, oldest first.
+func (s *State) PlatformChanged(events []platform.Event) {
+	for _, e := range events {
+		revision := int64(e.Kv.ModRevision)
+		if revision <= s.table.revision {
+			continue
+		}
+		if e.Type == platform.EventDelete {
+			if s.table.remove(Gone{Key: string(e.Kv.Key), Revision: revision}) {
+				s.removedKey(string(e.Kv.Key))
+			}
+		} else {
+			s.putValue(e.Kv)
+		}
+	}
+	if len(events) > 0 {
+		last := int64(events[len(events)-1].Kv.ModRevision)
+		s.table.revision = max(s.table.revision, last)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -1,146 +1,203 @@
-// Package control decides which configuration is in force on a host. State is
-// owned by one goroutine: it gets the platform's news and the time, and
-// gives back views. It does no I/O and reads no clock.
+// Package control decides which configuration is in force on a host, how long
+// it may be acted on, and which hosts there are. State is owned by one
+// goroutine: it gets the platform's news, peers' messages and the time, and
+// gives back actions. It does no I/O and reads no clock.
 package control
 
 import (
-	"encoding/json"
-	"fmt"
-	"net/netip"
-	"sort"
-	"strings"
+	"math/rand/v2"
 	"time"
 
-	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/view"
 )
 
-// MaxViewAge is how long work is dispatched on a view that nobody confirms.
-const MaxViewAge = 3 * time.Second
-
 // Options configure a State.
 type Options struct {
-	// Self is this host; it is listed in each view even while the platform's
-	// host list lags.
+	// Self is this host; it is in each view even while the platform's host
+	// list lags.
 	Self view.Host
+	// Incarnation is the wall clock's time at the start of the process, in
+	// nanoseconds.
+	Incarnation int64
+	// Seeds are addresses of peers to ask while no host list is known.
+	Seeds []string
+	// Rand chooses peers; it is used from the State's caller only.
+	Rand *rand.Rand
 }
 
-// HostEntry is a host as the platform publishes it, in JSON.
-type HostEntry struct {
-	// Address is the IP number and port where peers reach the host.
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
-	Leaving    bool   `json:"leaving,omitempty"`
+// State is the control state of a host. It is not safe for concurrent use.
+type State struct {
+	opts    Options
+	table   *table
+	members *members
+	hosts   []view.Host
+	// confirmed is when the platform is known to have held nothing newer.
+	confirmed time.Time
+	reader    reader
+	relay     relay
+	fresh     freshness
+	suspects  suspects
+	ids       []string
+	idsOf     uint64
+	// view is the last one published.
+	view *view.View
+	// until is how long it may be acted on; it never shrinks.
+	until    time.Time
+	viewOf   uint64
+	dirty    bool
+	refusals map[string]int64
+	out      Actions
 }
 
-// Verdict is what became of one published value.
-type Verdict struct {
-	Key      string
-	Revision int64
-	// Err tells why the value was refused; nil when it is in force.
-	Err error
+// Actions is what the State wants done, in this order.
+type Actions struct {
+	// Verdicts on published values, for the log.
+	Verdicts []Verdict
+	// View is to be put in force; nil when none is new. Renewed is set when
+	// it differs from the last one in Confirmed and ValidUntil only.
+	View    *view.View
+	Renewed bool
+	// Read and Check ask the platform once: for everything, or for its
+	// newest revision.
+	Read  bool
+	Check bool
+	// Asks go to peers.
+	Asks []Outgoing
+	// Replies answer peers' questions.
+	Replies []Reply
+	// Learn are requests that peers suspect to crash backend servers.
+	Learn []Suspicion
 }
 
-// State is the control state of a host. It is not safe for concurrent use.
-type State struct {
-	opts      Options
-	services  map[string]*accepted
-	hosts     map[string]view.Host
-	confirmed time.Time
+// Outgoing is a question to the host at an address. What becomes of it is to
+// be reported under its ID within Timeout.
+type Outgoing struct {
+	ID      uint64
+	To      string
+	Timeout time.Duration
+	Ask     Ask
 }
 
-// accepted is the document in force for one service.
-type accepted struct {
-	doc      *document.Service
-	revision int64
+// Reply answers the question that came with Token.
+type Reply struct {
+	Token  uint64
+	Answer Answer
 }
 
 // NewState returns a State that knows nothing but this host.
 func NewState(opts Options) *State {
-	return &State{
+	self := Member{ID: opts.Self.ID, Address: opts.Self.Address, DataCentre: opts.Self.DataCentre, Incarnation: opts.Incarnation}
+	s := &State{
 		opts:     opts,
-		services: make(map[string]*accepted),
-		hosts:    make(map[string]view.Host),
+		table:    newTable(),
+		members:  newMembers(self),
+		refusals: make(map[string]int64),
+		relay:    newRelay(),
+		fresh:    freshness{answered: make(map[string]bool)},
 	}
+	return s
 }
 
-// Confirm records that the platform held nothing newer at that time.
-func (s *State) Confirm(at time.Time) {
-	if at.After(s.confirmed) {
-		s.confirmed = at
+// Revision returns the platform's revision that the State reflects.
+func (s *State) Revision() int64 { return s.table.revision }
+
+// Tick lets time pass and returns what is to be done. It is to be called after
+// each event and at least every TickEvery.
+func (s *State) Tick(now time.Time) Actions {
+	s.tidy(now)
+	s.readPlatform(now)
+	s.askPeers(now)
+	s.replyDue(now)
+	s.publish(now)
+	out := s.out
+	s.out = Actions{}
+	return out
+}
+
+// TickEvery is the longest time between two Ticks.
+const TickEvery = 50 * time.Millisecond
+
+func (s *State) tidy(now time.Time) {
+	s.members.tidy(now, s.Deaf(now), s.table.hosts)
+	s.suspects.tidy(now)
+	if s.members.changed || s.viewOf != s.table.hash() {
+		s.hosts = s.members.picture(s.table.hosts)
+		s.viewOf = s.table.hash()
+		s.members.changed = false
+		s.relay.ranked = false
+		s.dirty = true
 	}
 }
 
-// Apply takes one published change and tells what became of it.
-func (s *State) Apply(e platform.Event) Verdict {
-	key := string(e.Kv.Key)
-	v := Verdict{Key: key, Revision: int64(e.Kv.ModRevision)}
-	switch {
-	case strings.HasPrefix(key, platform.PrefixServices):
-		v.Err = s.applyService(strings.TrimPrefix(key, platform.PrefixServices), e)
-	case strings.HasPrefix(key, platform.PrefixHosts):
-		v.Err = s.applyHost(strings.TrimPrefix(key, platform.PrefixHosts), e)
+// Leave announces that this host is leaving.
+func (s *State) Leave(now time.Time) {
+	if s.members.self.Leaving {
+		return
 	}
-	return v
+	s.members.self.Leaving = true
+	s.members.changed = true
+	s.tidy(now)
+	s.announce(now)
 }
 
-func (s *State) applyService(name string, e platform.Event) error {
-	if e.Type == platform.EventDelete {
-		delete(s.services, name)
-		return nil
+// publish gives out a view when hosts or documents have changed, or when the
+// last one may be acted on for longer.
+func (s *State) publish(now time.Time) {
+	if !s.ready(now) {
+		return
 	}
-	doc, err := document.Parse(e.Kv.Value)
-	if err != nil {
-		return err
+	until := s.validUntil(now)
+	longer := until.After(s.until)
+	if longer {
+		s.until = until
 	}
-	if doc.Name != name {
-		return fmt.Errorf("service: the document names %q but stands under %q", doc.Name, name)
+	switch {
+	case s.view == nil || s.dirty:
+		s.view = &view.View{Self: s.self(), Hosts: s.hosts, Services: s.table.documents()}
+		s.dirty = false
+	case longer:
+		next := *s.view
+		s.view = &next
+		s.out.Renewed = true
+	default:
+		return
 	}
-	old := s.services[name]
-	if old != nil && doc.Version <= old.doc.Version {
-		if doc.Version == old.doc.Version && int64(e.Kv.ModRevision) == old.revision {
-			return nil
+	s.view.Confirmed, s.view.ValidUntil = s.confirmed, s.until
+	s.out.View = s.view
+}
+
+func (s *State) self() view.Host {
+	for _, h := range s.hosts {
+		if h.ID == s.members.self.ID {
+			return h
 		}
-		return fmt.Errorf("version: %d is not above %d, which is in force", doc.Version, old.doc.Version)
 	}
-	s.services[name] = &accepted{doc: doc, revision: int64(e.Kv.ModRevision)}
-	return nil
+	return s.opts.Self
 }
 
-func (s *State) applyHost(id string, e platform.Event) error {
-	if e.Type == platform.EventDelete {
-		delete(s.hosts, id)
-		return nil
-	}
-	var h HostEntry
-	if err := json.Unmarshal(e.Kv.Value, &h); err != nil {
-		return fmt.Errorf("host %s: %w", id, err)
-	}
-	if _, err := netip.ParseAddrPort(h.Address); err != nil {
-		return fmt.Errorf("host %s: address: %w", id, err)
+// record keeps a verdict for the log, each refusal once.
+func (s *State) record(v Verdict) {
+	if v.Err != nil {
+		if s.refusals[v.Key] >= v.Revision {
+			return
+		}
+		s.refusals[v.Key] = v.Revision
 	}
-	s.hosts[id] = view.Host{ID: id, Address: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving}
-	return nil
+	s.out.Verdicts = append(s.out.Verdicts, v)
 }
 
-// View returns the picture now in force.
-func (s *State) View() *view.View {
-	v := &view.View{
-		Self:       s.opts.Self,
-		Services:   make(map[string]*document.Service, len(s.services)),
-		Confirmed:  s.confirmed,
-		ValidUntil: s.confirmed.Add(MaxViewAge),
-	}
-	for name, a := range s.services {
-		v.Services[name] = a.doc
+// removedKey reports that a key was removed from the platform.
+func (s *State) removedKey(key string) {
+	delete(s.refusals, key)
+	if id, ok := hostKey(key); ok {
+		s.members.delist(id)
 	}
-	v.Hosts = append(v.Hosts, s.opts.Self)
-	for id, h := range s.hosts {
-		if id != s.opts.Self.ID {
-			v.Hosts = append(v.Hosts, h)
-		}
+}
+
+func hostKey(key string) (string, bool) {
+	if len(key) > len(platform.PrefixHosts) && key[:len(platform.PrefixHosts)] == platform.PrefixHosts {
+		return key[len(platform.PrefixHosts):], true
 	}
-	sort.Slice(v.Hosts, func(i, j int) bool { return v.Hosts[i].ID < v.Hosts[j].ID })
-	return v
+	return "", false
 }
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -22,7 +22,7 @@
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/peer"
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/platform/client"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/query"
 	"github.com/figmast/figmast/timeline"
@@ -40,7 +40,7 @@
 	runner   *traffic.Runner
 	pool     *backend.Pool
 	peers    *peers
-	client   *platform.Client
+	client   *client.Client
 	callers  *http.Server
 	ops      *http.Server
 	draining atomic.Bool
@@ -82,9 +82,10 @@
 		Carrier: h.pool, Forwarder: h.peers, Clock: clock.Now,
 	})
 	h.peers.runner = h.runner
-	h.client = platform.NewClient(s.Platform)
+	h.client = client.New(s.Platform)
 	events := timeline.NewRing(s.Host, timelineSize, time.Now)
-	h.control = newController(s, h.client, h.runner, logger, events)
+	h.control = newController(s, h.client, h.peers, h.runner, logger, events)
+	h.peers.control, h.peers.events = h.control, events
 	h.callers = &http.Server{ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, Handler: api.NewHandler(api.Options{
 		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now, Draining: h.draining.Load,
 	})}
@@ -135,6 +136,7 @@
 // finishes every request, and closes.
 func (h *Host) Stop(ctx context.Context) error {
 	h.draining.Store(true)
+	h.control.leave()
 	h.log.Info("draining", "wait", h.settings.DrainWait)
 	pause(ctx, h.settings.DrainWait)
 	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -2,19 +2,62 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/figmast/figmast/command"
+	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/internal/fault"
 	"github.com/figmast/figmast/peer"
+	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
 	"github.com/figmast/figmast/wire"
 )
 
+// maxAhead is how far a peer's wall clock may be ahead for its stamps to
+// count.
+const maxAhead = time.Minute
+
 // peers carries what hosts ask of each other.
 type peers struct {
 	transport *peer.Transport
 	runner    *traffic.Runner
+	control   *controller
+	events    *timeline.Ring
+}
+
+// request sends a message and returns the answer; events of both hosts are
+// ordered by it.
+func (p *peers) request(ctx context.Context, address string, m *wire.Message) (*wire.Message, error) {
+	m.Stamp = p.events.Now()
+	answer, err := p.transport.Request(ctx, address, m)
+	if err != nil {
+		return nil, err
+	}
+	p.observe(answer.Stamp)
+	if answer.Failure != nil {
+		return nil, fault.Wrap(fault.Peer, answer.Failure.Step, address, errors.New(answer.Failure.Detail))
+	}
+	return answer, nil
+}
+
+func (p *peers) observe(s timeline.Stamp) {
+	if s.Wall < time.Now().Add(maxAhead).UnixNano() {
+		p.events.Observe(s)
+	}
+}
+
+// ask asks a peer about the configuration.
+func (p *peers) ask(ctx context.Context, address string, a *control.Ask) (*control.Answer, error) {
+	answer, err := p.request(ctx, address, &wire.Message{Ask: a})
+	if err != nil {
+		return nil, err
+	}
+	if answer.Answer == nil {
+		return nil, fault.Wrap(fault.Peer, "ask", address, errors.New("the answer is of another kind"))
+	}
+	return answer.Answer, nil
 }
 
 // Forward hands a command to the host that minted its ticket.
@@ -25,7 +68,7 @@
 		Command:   f.Request.Wire(),
 		LeftMs:    max(f.Request.Deadline.Sub(clock.Now()).Milliseconds(), 1),
 	}}
-	answer, err := p.transport.Request(ctx, f.To.Address, m)
+	answer, err := p.request(ctx, f.To.Address, m)
 	if err != nil || answer.Outcome == nil {
 		return command.Finish{}
 	}
@@ -34,12 +77,33 @@
 
 // serve answers what a peer asks.
 func (p *peers) serve(ctx context.Context, m *wire.Message) *wire.Message {
+	p.observe(m.Stamp)
+	answer := p.dispatch(ctx, m)
+	answer.Stamp = p.events.Now()
+	return answer
+}
+
+func (p *peers) dispatch(ctx context.Context, m *wire.Message) *wire.Message {
 	switch {
+	case m.Ask != nil:
+		return p.serveAsk(ctx, m.Ask)
 	case m.Forward != nil:
 		return p.serveForward(ctx, m.Forward)
 	default:
-		return &wire.Message{Failure: &wire.Failure{Step: "serve", Detail: "unknown message"}}
+		return refuse("serve", "unknown message")
+	}
+}
+
+func refuse(step, detail string) *wire.Message {
+	return &wire.Message{Failure: &wire.Failure{Step: step, Detail: detail}}
+}
+
+func (p *peers) serveAsk(ctx context.Context, a *control.Ask) *wire.Message {
+	answer := p.control.serve(ctx, a)
+	if answer == nil {
+		return refuse("ask", "the host is stopping")
 	}
+	return &wire.Message{Answer: answer}
 }
 
 func (p *peers) serveForward(ctx context.Context, f *wire.Forward) *wire.Message {
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -2,90 +2,103 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/platform/client"
 )
 
-// Intervals of reading the platform.
-const (
-	confirmEvery = time.Second
-	readTimeout  = time.Second
-	retryEvery   = 500 * time.Millisecond
-)
-
-// news is what a reader tells the control loop.
-type news struct {
-	// Events are changes, oldest first.
-	Events []platform.Event
-	// Revision that Events bring the reader to, or that the platform was
-	// seen to be at.
-	Revision int64
-	// Confirmed is when the platform was asked, if it answered.
-	Confirmed time.Time
-}
+// watchRetry is the least time between two attempts to watch the platform.
+const watchRetry = 500 * time.Millisecond
 
-// reader follows the platform and passes on its news.
+// reader makes the calls to the platform that control state asks for.
 type reader struct {
-	client *platform.Client
+	client *client.Client
 	log    *log.Logger
-	out    chan<- news
-}
+	// pass hands news to the control goroutine.
+	pass func(func(now time.Time))
 
-// run follows the platform until ctx is done.
-func (r *reader) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := r.follow(ctx); err != nil && ctx.Err() == nil {
-			r.log.Warn("platform not readable", origin(err)...)
-		}
-		pause(ctx, retryEvery)
-	}
+	// cancel ends the running watch; nil while none runs. It, next and the
+	// number of the watch belong to the control goroutine.
+	cancel context.CancelFunc
+	next   time.Time
+	number int
 }
 
-// follow reads everything, then watches until something fails.
-func (r *reader) follow(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+// call reads everything, or the newest revision, once.
+func (r *reader) call(ctx context.Context, s *control.State, everything bool) {
+	limit := control.CheckTimeout
+	if everything {
+		limit = control.ReadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	start := clock.Now()
-	all, err := r.client.Range(ctx, platform.PrefixAll)
+	asked := clock.Now()
+	report, err := r.read(ctx, s, everything, asked)
 	if err != nil {
-		return err
+		r.log.Debug("platform not readable", origin(err)...)
+		report = func(time.Time) { s.PlatformFailed() }
 	}
-	n := news{Revision: int64(all.Header.Revision), Confirmed: start}
-	for _, kv := range all.Kvs {
-		n.Events = append(n.Events, platform.Event{Kv: kv})
+	r.pass(report)
+}
+
+func (r *reader) read(ctx context.Context, s *control.State, everything bool, asked time.Time) (func(time.Time), error) {
+	if everything {
+		all, err := r.client.Range(ctx, platform.PrefixAll)
+		return func(time.Time) { s.PlatformRead(asked, all) }, err
 	}
-	r.pass(ctx, n)
-	go r.confirm(ctx, cancel)
-	return r.client.Watch(ctx, platform.PrefixAll, n.Revision+1, func(res platform.WatchResult) {
-		r.pass(ctx, news{Events: res.Events, Revision: int64(res.Header.Revision)})
-	})
+	revision, err := r.client.Revision(ctx)
+	return func(time.Time) { s.PlatformAt(asked, revision) }, err
 }
 
-// confirm asks for the newest revision again and again; it cancels the watch
-// when the platform stops answering.
-func (r *reader) confirm(ctx context.Context, cancel context.CancelFunc) {
-	defer cancel()
-	for {
-		pause(ctx, confirmEvery)
-		start := clock.Now()
-		short, done := context.WithTimeout(ctx, readTimeout)
-		rev, err := r.client.Revision(short)
-		done()
-		if err != nil {
-			return
-		}
-		r.pass(ctx, news{Revision: rev, Confirmed: start})
+// watch starts or stops the watch as control state wants it.
+func (r *reader) watch(ctx context.Context, done *sync.WaitGroup, s *control.State, now time.Time) {
+	from, wanted := s.Watching(now)
+	if !wanted {
+		r.stopWatch()
+		return
 	}
+	if r.cancel != nil || now.Before(r.next) {
+		return
+	}
+	r.next = now.Add(watchRetry)
+	ctx, cancel := context.WithCancel(ctx)
+	r.cancel = cancel
+	r.number++
+	number := r.number
+	done.Add(1)
+	go func() {
+		defer done.Done()
+		defer cancel()
+		r.follow(ctx, s, from)
+		r.pass(func(time.Time) { r.ended(number) })
+	}()
 }
 
-func (r *reader) pass(ctx context.Context, n news) {
-	select {
-	case r.out <- n:
-	case <-ctx.Done():
+func (r *reader) stopWatch() {
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+}
+
+// follow passes on changes until the watch breaks.
+func (r *reader) follow(ctx context.Context, s *control.State, from int64) {
+	err := r.client.Watch(ctx, platform.PrefixAll, from, func(res platform.WatchResult) {
+		r.pass(func(time.Time) { s.PlatformChanged(res.Events) })
+	})
+	r.log.Debug("watch of the platform ended", origin(err)...)
+}
+
+// ended notes that a watch has ended, unless another one runs already.
+func (r *reader) ended(number int) {
+	if number == r.number {
+		r.cancel = nil
 	}
 }
 
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -19,6 +19,7 @@
 	OpsListen    string        `arg:"--ops-listen,env:FIGMAST_OPS_LISTEN" default:"127.0.0.1:8081" help:"IP number and TCP port for health, metrics and operators"`
 	PeerListen   string        `arg:"--peer-listen,env:FIGMAST_PEER_LISTEN" default:"127.0.0.1:8082" help:"IP number and UDP port for other hosts"`
 	Platform     string        `arg:"--platform,env:FIGMAST_PLATFORM" help:"IP number and port of the platform"`
+	Peers        []string      `arg:"--peers,env:FIGMAST_PEERS" help:"IP numbers and UDP ports of some other hosts, asked while the platform cannot be read at the start"`
 	Certificate  string        `arg:"--certificate,env:FIGMAST_CERTIFICATE" help:"PEM text or file of this host's certificate"`
 	Key          string        `arg:"--key,env:FIGMAST_KEY" help:"PEM text or file of this host's key"`
 	Authorities  string        `arg:"--authorities,env:FIGMAST_AUTHORITIES" help:"PEM text or file of the authorities that peers' certificates must have"`
@@ -60,6 +61,9 @@
 	address("--ops-listen", s.OpsListen)
 	address("--peer-listen", s.PeerListen)
 	address("--platform", s.Platform)
+	for _, p := range s.Peers {
+		address("--peers", p)
+	}
 	if s.DrainWait < 0 {
 		faults = append(faults, fmt.Errorf("--drain-wait: %v is below 0", s.DrainWait))
 	}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -60,6 +60,10 @@
 	defer p.mu.Unlock()
 	p.revision++
 	e.Kv.ModRevision = platform.Int64(p.revision)
+	e.Kv.CreateRevision = e.Kv.ModRevision
+	if old, ok := p.values[string(e.Kv.Key)]; ok {
+		e.Kv.CreateRevision = old.CreateRevision
+	}
 	p.history = append(p.history, e)
 	if e.Type == platform.EventDelete {
 		delete(p.values, string(e.Kv.Key))
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -25,6 +25,21 @@
 	maxStreams       = 1024
 	idleTimeout      = 30 * time.Second
 	handshakeTimeout = 2 * time.Second
+	// transferTimeout bounds reading a question and writing its answer.
+	transferTimeout = 5 * time.Second
+	// Receive windows: one message fits a stream's, some a connection's.
+	streamWindow     = 256 << 10
+	maxStreamWindow  = 2 << 20
+	connectionWindow = 512 << 10
+	maxConnWindow    = 8 << 20
+)
+
+// Codes that streams and connections are closed with.
+const (
+	codeGivenUp   quic.StreamErrorCode      = 1
+	codeMalformed quic.StreamErrorCode      = 2
+	codeSilent    quic.ApplicationErrorCode = 1
+	codeExpired   quic.ApplicationErrorCode = 2
 )
 
 // Handler serves messages of peers. It is called on many goroutines.
@@ -56,7 +71,7 @@
 	listener *quic.Listener
 
 	mu    sync.Mutex
-	conns map[string]*quic.Conn
+	conns map[string]*connection
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -73,7 +88,7 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Peer, "listen", opts.Address, err)
 	}
-	t := &Transport{opts: opts, socket: socket, quic: &quic.Transport{Conn: socket}, conns: make(map[string]*quic.Conn)}
+	t := &Transport{opts: opts, socket: socket, quic: &quic.Transport{Conn: socket}, conns: make(map[string]*connection)}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.listener, err = t.quic.Listen(&tls.Config{GetConfigForClient: t.serverTLS, NextProtos: []string{protocolName}}, quicConfig())
 	if err != nil {
@@ -87,9 +102,14 @@
 
 func quicConfig() *quic.Config {
 	return &quic.Config{
-		MaxIncomingStreams:   maxStreams,
-		MaxIdleTimeout:       idleTimeout,
-		HandshakeIdleTimeout: handshakeTimeout,
+		MaxIncomingStreams:             maxStreams,
+		MaxIdleTimeout:                 idleTimeout,
+		HandshakeIdleTimeout:           handshakeTimeout,
+		MaxIncomingUniStreams:          -1,
+		InitialStreamReceiveWindow:     streamWindow,
+		MaxStreamReceiveWindow:         maxStreamWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     maxConnWindow,
 	}
 }
 
@@ -135,13 +155,16 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Peer, "encode", address, err)
 	}
-	conn, err := t.conn(ctx, address)
+	conn, err := t.connect(ctx, address)
 	if err != nil {
 		return nil, fault.Wrap(fault.Peer, "connect", address, err)
 	}
+	before := conn.ConnectionStats().PacketsReceived
 	answer, err := exchange(ctx, conn, out)
 	if err != nil {
-		t.forget(address, conn)
+		if conn.ConnectionStats().PacketsReceived == before {
+			_ = conn.CloseWithError(codeSilent, "no packet came back")
+		}
 		return nil, fault.Wrap(fault.Peer, "exchange", address, err)
 	}
 	in, err := wire.Decode(answer)
@@ -151,50 +174,14 @@
 	return in, nil
 }
 
-func (t *Transport) conn(ctx context.Context, address string) (*quic.Conn, error) {
-	t.mu.Lock()
-	c := t.conns[address]
-	t.mu.Unlock()
-	if c != nil && c.Context().Err() == nil {
-		return c, nil
-	}
-	conf, err := t.clientTLS(address)
-	if err != nil {
-		return nil, err
-	}
-	addr, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		return nil, err
-	}
-	c, err = t.quic.Dial(ctx, addr, conf, quicConfig())
-	if err != nil {
-		return nil, err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.conns[address] = c
-	return c, nil
-}
-
-func (t *Transport) forget(address string, c *quic.Conn) {
-	if c.Context().Err() == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.conns[address] == c {
-		delete(t.conns, address)
-	}
-}
-
 func exchange(ctx context.Context, conn *quic.Conn, out []byte) ([]byte, error) {
 	s, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() {
-		s.CancelRead(0)
-		s.CancelWrite(0)
+		s.CancelRead(codeGivenUp)
+		s.CancelWrite(codeGivenUp)
 	})
 	defer stop()
 	if _, err := s.Write(out); err != nil {
@@ -232,6 +219,7 @@
 
 func (t *Transport) serveConn(c *quic.Conn) {
 	defer t.serving.Done()
+	defer closeAtExpiry(c)()
 	for {
 		s, err := c.AcceptStream(t.ctx)
 		if err != nil {
@@ -245,17 +233,22 @@
 func (t *Transport) serveStream(s *quic.Stream) {
 	defer t.serving.Done()
 	defer s.Close()
+	_ = s.SetReadDeadline(time.Now().Add(transferTimeout))
 	in, err := readAll(s)
 	if err != nil {
-		s.CancelWrite(0)
+		s.CancelRead(codeMalformed)
+		s.CancelWrite(codeMalformed)
 		return
 	}
 	answer, err := wire.Encode(t.serve(s.Context(), in))
 	if err != nil {
-		s.CancelWrite(0)
+		s.CancelWrite(codeMalformed)
 		return
 	}
-	_, _ = s.Write(answer)
+	_ = s.SetWriteDeadline(time.Now().Add(transferTimeout))
+	if _, err := s.Write(answer); err != nil {
+		s.CancelWrite(codeGivenUp)
+	}
 }
 
 func (t *Transport) serve(ctx context.Context, in []byte) *wire.Message {
@@ -268,7 +261,9 @@
 
 // Close closes every connection and waits for requests being served.
 func (t *Transport) Close() error {
+	t.mu.Lock()
 	t.cancel()
+	t.mu.Unlock()
 	_ = t.listener.Close()
 	err := t.quic.Close()
 	t.serving.Wait()
--- /dev/null
+++ b/traffic/renew.go
@@ -0,0 +1,11 @@
+package traffic
+
+import "github.com/figmast/figmast/view"
+
+// RenewView puts a view in force that differs from the last one only in how
+// long it may be acted on.
+func (r *Runner) RenewView(v *view.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Router.Renew(v)
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -2,18 +2,22 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/control"
+	"github.com/figmast/figmast/timeline"
 )
 
 // Version of the messages. A host refuses messages of another major version.
 const Version = 1
 
-// MaxBytes is the largest message that is read: a document and its frame.
-const MaxBytes = 1<<20 + 64<<10
+// MaxBytes is the largest message that is read: a document of 1 MB beside the
+// digest of a fleet.
+const MaxBytes = 1<<20 + 256<<10
 
 // Message is one message; exactly one body is set.
 type Message struct {
@@ -24,6 +28,22 @@
 	Outcome *Outcome `cbor:"3,keyasint,omitempty"`
 	// Failure answers anything that could not be served.
 	Failure *Failure `cbor:"4,keyasint,omitempty"`
+	// Ask is a question about the configuration, and Answer answers it.
+	Ask    *control.Ask    `cbor:"5,keyasint,omitempty"`
+	Answer *control.Answer `cbor:"6,keyasint,omitempty"`
+	// Stamp orders the sender's events before the receiver's later ones.
+	Stamp timeline.Stamp `cbor:"7,keyasint"`
+}
+
+// bodies returns how many bodies are set.
+func (m *Message) bodies() int {
+	n := 0
+	for _, set := range []bool{m.Forward != nil, m.Outcome != nil, m.Failure != nil, m.Ask != nil, m.Answer != nil} {
+		if set {
+			n++
+		}
+	}
+	return n
 }
 
 // Forward is a command on its way to the host that minted its ticket.
@@ -53,7 +73,8 @@
 	return cbor.Marshal(m)
 }
 
-// decoding refuses unknown fields, repeated keys and deep nesting.
+// decoding refuses repeated keys, deep nesting and endless items. Fields that
+// it does not know are passed over, so that hosts of two releases can talk.
 var decoding = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
@@ -80,5 +101,8 @@
 	if m.Version != Version {
 		return nil, fmt.Errorf("message: version %d, not %d", m.Version, Version)
 	}
+	if m.bodies() != 1 {
+		return nil, errors.New("message: not one body")
+	}
 	return &m, nil
 }
