Purity check follows the project's own imports

Cause: control imported the package that held the HTTP client of the platform, and the check looked at direct imports only. Of net/http only the names of statuses may be used. Seen failing with control importing platform/client (context and http.Client reported), then passing.

--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -35,7 +35,6 @@
 	loss   float64
 	asks   int
 	calls  int
-	bytes  int
 	events []observed
 
 	// The platform: revision n is the state after the first n changes.
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -31,21 +31,43 @@
 // seeded functions of math/rand/v2 do not use the global source.
 var seeded = map[string]bool{"New": true, "NewPCG": true, "NewChaCha8": true, "NewZipf": true, "Rand": true, "Source": true}
 
+// module is the path of this project; what the decisions import of it is held
+// to the same rules. The root package is not followed: the decisions use its
+// types, and callers its HTTP client.
+const module = "github.com/figmast/figmast/"
+
 func TestDecisionsAreSansIO(t *testing.T) {
-	for _, dir := range pure {
-		files, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
-		if err != nil || len(files) == 0 {
-			t.Fatalf("%s: no files (%v)", dir, err)
+	seen := make(map[string]bool)
+	todo := append([]string(nil), pure...)
+	for len(todo) > 0 {
+		dir := todo[0]
+		todo = todo[1:]
+		if seen[dir] {
+			continue
 		}
-		for _, name := range files {
-			if !strings.HasSuffix(name, "_test.go") {
-				checkFile(t, name)
-			}
+		seen[dir] = true
+		todo = append(todo, checkPackage(t, dir)...)
+	}
+}
+
+// checkPackage checks the files of a package and returns the packages of this
+// project that it imports.
+func checkPackage(t *testing.T, dir string) []string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", "..", dir, "*.go"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%s: no files (%v)", dir, err)
+	}
+	var imports []string
+	for _, name := range files {
+		if !strings.HasSuffix(name, "_test.go") {
+			imports = append(imports, checkFile(t, name)...)
 		}
 	}
+	return imports
 }
 
-func checkFile(t *testing.T, name string) {
+func checkFile(t *testing.T, name string) (imports []string) {
 	t.Helper()
 	set := token.NewFileSet()
 	f, err := parser.ParseFile(set, name, nil, 0)
@@ -57,6 +79,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if own, ok := strings.CutPrefix(path, module); ok {
+			imports = append(imports, own)
+		}
 		for _, bad := range forbidden {
 			if path == bad {
 				t.Errorf("%s: imports %s", set.Position(spec.Pos()), path)
@@ -72,6 +97,7 @@
 		}
 		return true
 	})
+	return imports
 }
 
 func checkCall(t *testing.T, set *token.FileSet, n *ast.SelectorExpr) {
@@ -83,6 +109,9 @@
 	if pkg.Name == "time" && clockCalls[n.Sel.Name] {
 		t.Errorf("%s: reads the clock by time.%s", set.Position(n.Pos()), n.Sel.Name)
 	}
+	if pkg.Name == "http" && pkg.Obj == nil && !strings.HasPrefix(n.Sel.Name, "Status") {
+		t.Errorf("%s: uses http.%s; only the names of statuses are no I/O", set.Position(n.Pos()), n.Sel.Name)
+	}
 	if pkg.Name == "rand" && pkg.Obj == nil && !seeded[n.Sel.Name] {
 		t.Errorf("%s: uses the global random source by rand.%s", set.Position(n.Pos()), n.Sel.Name)
 	}
