--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -15,7 +15,7 @@
 	h.draining.Store(true)
 	h.control.events.Add(timeline.Event{Kind: timeline.HostState, Detail: "draining"})
 	h.log.Info("draining", "wait", h.settings.DrainWait, "limit", h.settings.DrainLimit)
-	h.leave(ctx)
+	h.control.leave()
 	pause(ctx, h.settings.DrainWait)
 	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
 	defer cancel()
@@ -33,9 +33,6 @@
 	return nil
 }
 
-// leave tells the peers that this host takes no new work of theirs.
-func (h *Host) leave(context.Context) {}
-
 // finishRequests waits for the requests of callers, and then for those of
 // peers and for commands whose callers went away.
 func (h *Host) finishRequests(ctx context.Context) error {
