--- /dev/null
+++ b/e2e/capacity_test.go
@@ -0,0 +1,117 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/platform"
+)
+
+// clockTick is the unit of processor time in /proc, in a second's fraction.
+const clockTick = time.Second / 100
+
+// BenchmarkQueryProcessorTime measures what a host spends on a query, by the
+// number of leaves: processor time for each leaf call, from /proc.
+func BenchmarkQueryProcessorTime(b *testing.B) {
+	for _, leaves := range []int{10, 30, 93} {
+		b.Run(fmt.Sprintf("leaves=%d", leaves), func(b *testing.B) { benchmarkQuery(b, leaves) })
+	}
+}
+
+func benchmarkQuery(b *testing.B, leaves int) {
+	f := newFleet(b)
+	servers := startBackends(b, leaves)
+	f.publish(platform.PrefixServices+"wide", wideService(servers))
+	h := f.addHost("127.0.0.2", "dc-0")
+	f.waitReady()
+	body, _ := json.Marshal(figmast.QueryRequest{Operation: "search", Payload: json.RawMessage(`{"yard":"17 Elm"}`)})
+	ask := func() {
+		resp, err := http.Post("http://"+h.callers+"/v1/services/wide/query", "application/json", bytes.NewReader(body))
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		var ans figmast.QueryAnswer
+		if err := json.NewDecoder(resp.Body).Decode(&ans); err != nil || ans.Coverage != 1 {
+			b.Errorf("status %d, coverage %v: %v", resp.StatusCode, ans.Coverage, err)
+		}
+		_ = resp.Body.Close()
+	}
+	for range 50 {
+		ask()
+	}
+	before := processorTime(b, h.cmd.Process.Pid)
+	b.ResetTimer()
+	const callers = 8
+	var next atomic.Int64
+	var done sync.WaitGroup
+	for range callers {
+		done.Go(func() {
+			for next.Add(1) <= int64(b.N) {
+				ask()
+			}
+		})
+	}
+	done.Wait()
+	b.StopTimer()
+	spent := processorTime(b, h.cmd.Process.Pid) - before
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N*leaves), "cpu-us/leafcall")
+	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/query")
+	b.ReportMetric(float64(residentBytes(b, h.cmd.Process.Pid))/(1<<20), "MiB")
+}
+
+// wideService is a document with one leaf for each server.
+func wideService(servers []string) []byte {
+	var doc, weights strings.Builder
+	doc.WriteString("service: wide\nversion: 1\noperations:\n- {name: search, kind: query, deadline: 5s}\nleaves:\n")
+	for i, s := range servers {
+		id, address, _ := strings.Cut(s, "=")
+		fmt.Fprintf(&doc, "- {name: l%d, slots: 1, connections: 40, servers: [{id: %s, address: %q, data_centre: dc-0}]}\n", i, id, address)
+		fmt.Fprintf(&weights, "  - {leaf: l%d, weight: 1}\n", i)
+	}
+	return []byte(doc.String() + "snapshots:\n- id: monday\n  partition_map: m\n  weights:\n" + weights.String())
+}
+
+// processorTime returns the processor time that a process has used.
+func processorTime(t testing.TB, pid int) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The fields after the name in parentheses: 12 and 13 are user and system.
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	var ticks int64
+	for _, i := range []int{11, 12} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick
+}
+
+// residentBytes returns the memory that a process holds.
+func residentBytes(t testing.TB, pid int) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pages * int64(os.Getpagesize())
+}
