Decisions: server choice, shares, limits, cold start, hedging, retries, crash suspects

First whole pass over the decisions of a host. Replica choice weighs own latency, calls in flight, recent failures and the data centre; connection shares are divided by rank, shrink at once and grow after a wait; each server has an adaptive limit; cold servers get their allowance from the hosts that come first in sharing them; hedges and retries spend budgets; requests whose calls break off on two servers are refused and told to peers.

A host that is not listed now holds nothing, and one that comes back waits like a newcomer unless the view shows that it stayed listed.

--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,58 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkCall measures the decisions of one leaf call.
+func BenchmarkCall(b *testing.B) {
+	for _, leaves := range []int{30, 300, 3300} {
+		b.Run(fmt.Sprintf("leaves=%d", leaves), func(b *testing.B) {
+			doc := shape{leaves: leaves, servers: 3, connections: 50, centres: 3}.doc()
+			r := routers(9, 3, Options{}, doc)[0]
+			b.ReportAllocs()
+			b.ResetTimer()
+			benchmarkCalls(b, r, leaves)
+		})
+	}
+}
+
+func benchmarkCalls(b *testing.B, r *Router, leaves int) {
+	picks := make([]Pick, leaves)
+	for i := range picks {
+		picks[i] = Pick{Service: "svc", Leaf: fmt.Sprintf("leaf%d", i), Fingerprint: uint64(i)}
+	}
+	now := epoch
+	for i := range b.N {
+		p := picks[i%leaves]
+		now = now.Add(50 * time.Microsecond)
+		srv, _ := r.Pick(now, p)
+		r.Begin(now, srv)
+		r.HedgeDelay(p.Service, p.Leaf)
+		r.Done(now, srv, Observation{Latency: time.Duration(1+i%5) * time.Millisecond, Fingerprint: p.Fingerprint})
+	}
+}
+
+// BenchmarkFleetChange measures one host's coming at the largest size.
+func BenchmarkFleetChange(b *testing.B) {
+	doc := shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
+	hosts := hostList(621, 6)
+	views := []int{620, 621}
+	r := newTestRouter(1, Options{})
+	r.Apply(epoch, viewOf(hosts[0], hosts[:620], doc))
+	b.ResetTimer()
+	for i := range b.N {
+		r.Apply(epoch, viewOf(hosts[0], hosts[:views[i%2]], doc))
+	}
+}
+
+// BenchmarkFirstView measures a new host's first view at the largest size.
+func BenchmarkFirstView(b *testing.B) {
+	doc := shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
+	hosts := hostList(620, 6)
+	for range b.N {
+		newTestRouter(1, Options{}).Apply(epoch, viewOf(hosts[0], hosts, doc))
+	}
+}
--- a/policy/router.go
+++ b/policy/router.go
@@ -5,87 +5,39 @@
 package policy
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/view"
 )
 
-// Server is one backend server with what this host has observed of it. The
-// exported fields never change; the rest belongs to the Router.
-type Server struct {
-	Service    string
-	Leaf       string
-	ID         string
-	Address    string
-	DataCentre string
-
-	leaving  bool
-	out      bool
-	share    int
-	inFlight int
-	latency  time.Duration
-}
-
-// Pick asks for a backend server for one leaf call.
-type Pick struct {
-	Service string
-	Leaf    string
-	// Tried servers are not picked again.
-	Tried []*Server
-	// Fingerprint identifies what the request does, however often its caller
-	// resends it.
-	Fingerprint uint64
-	// Command marks work that may not be repeated.
-	Command bool
-	// Hedge marks a second attempt beside a running one.
-	Hedge bool
-}
-
-// Reason tells why no backend server could be picked.
-type Reason string
-
-// Reasons for picking none.
-const (
-	Picked       Reason = ""
-	NoServer     Reason = "no_server"     // the leaf has none left to try
-	AllOut       Reason = "all_out"       // data centres out or servers leaving
-	AllBusy      Reason = "all_busy"      // limits of all servers reached
-	AllCold      Reason = "all_cold"      // allowance of cold servers reached
-	Suspect      Reason = "crash_suspect" // the request has crashed servers
-	StaleView    Reason = "stale_view"    // the view may not be acted on
-	UnknownLeaf  Reason = "unknown_leaf"
-	NoSuchServer Reason = "unknown_service"
-)
-
-// Result is how a leaf call ended, as far as the decisions care.
-type Result int
-
-// Results.
-const (
-	ResultOK        Result = iota
-	ResultShed             // the server said it did not run the call
-	ResultFailed           // no byte left: refused or not connected
-	ResultBroken           // the connection broke after the call was sent
-	ResultTimeout          // the deadline passed
-	ResultCancelled        // given up by this host
-)
-
-// Observation is what a finished leaf call tells about its server.
-type Observation struct {
-	Result  Result
-	Latency time.Duration
-	// Cold is set when the server said that it is in cold start.
-	Cold bool
-	// Fingerprint of the request, as in Pick.
-	Fingerprint uint64
-}
-
 // Options configure a Router.
 type Options struct {
 	// Rand breaks ties; it is used from the Router's caller only.
 	Rand *rand.Rand
+	// ShareLag is how late a host may act on a change that the platform has
+	// published, at most. Newcomers wait for it and freed connections are kept
+	// back for it, so that the fleet never holds more than a server's limit.
+	// Zero means that all hosts change their views at the same moment.
+	ShareLag time.Duration
+	// HolderConnections is the least number of connections that a host takes
+	// to a server when there are fewer connections than hosts; all hosts must
+	// agree on it. Zero means 1.
+	HolderConnections int
+
+	without mechanisms
+}
+
+// mechanisms can be switched off one by one, so that tests and benchmarks
+// show what each is for.
+type mechanisms struct {
+	scoring   bool // replica choice by latency and failures
+	coldStart bool
+	limiter   bool
+	suspects  bool
 }
 
 // Router chooses backend servers. It is not safe for concurrent use.
@@ -93,125 +45,195 @@
 	opts     Options
 	view     *view.View
 	services map[string]*service
-}
-
+	// leaves of all services, for passes over every server.
+	leaves []*leaf
+	fleet  *fleet
+
+	// epoch counts the allotments worked out.
+	epoch uint64
+	// sharing is set while the view allows connections to be held.
+	sharing bool
+	// relays is set while peers can hold connections for this host.
+	relays bool
+	// nextShare is when time alone changes the allotments, or 0.
+	nextShare time.Duration
+
+	suspects suspects
+	// start and last are the first and the latest time handed in.
+	start time.Time
+	last  time.Duration
+}
+
+// service is what a Router knows of one service.
 type service struct {
-	doc    *document.Service
-	leaves map[string]*leaf
+	name    string
+	doc     *document.Service
+	leaves  map[string]*leaf
+	retries budget
+	// hedges takes what the leaves' own budgets cannot hold.
+	hedges budget
+	flow   flow
 }
 
+// leaf is what a Router knows of one leaf.
 type leaf struct {
-	servers []*Server
+	service  *service
+	name     string
+	doc      document.Leaf
+	servers  []*Server
+	division []divided
+	latency  histogram
+	hedges   budget
 }
 
 // NewRouter returns a Router without a view.
 func NewRouter(opts Options) *Router {
-	return &Router{opts: opts, services: make(map[string]*service)}
+	return &Router{
+		opts:     opts,
+		services: make(map[string]*service),
+		fleet:    newFleet(opts.ShareLag),
+		suspects: newSuspects(),
+	}
 }
 
 // View returns the view in force, or nil.
 func (r *Router) View() *view.View { return r.view }
 
+// at converts a time to the Router's scale and notes it.
+func (r *Router) at(now time.Time) time.Duration {
+	if r.start.IsZero() {
+		// One second before, so that no moment is 0, which means never.
+		r.start = now.Add(-time.Second)
+	}
+	r.last = max(r.last, now.Sub(r.start))
+	return r.last
+}
+
 // Apply puts a view in force. What was observed of servers that stay is kept.
-func (r *Router) Apply(_ time.Time, v *view.View) {
+func (r *Router) Apply(now time.Time, v *view.View) {
+	at := r.at(now)
+	old := r.view
 	r.view = v
-	next := make(map[string]*service, len(v.Services))
-	for name, doc := range v.Services {
-		next[name] = r.applyService(r.services[name], doc, v.Live())
+	r.applyHosts(at, v)
+	if old != nil && !old.Valid(now) && !sameListing(old, v) {
+		r.fleet.rejoin(at)
 	}
-	r.services = next
+	r.applyServices(at, v)
+	r.share(at, v.Valid(now))
 }
 
-func (r *Router) applyService(old *service, doc *document.Service, hosts int) *service {
-	if old != nil && old.doc == doc {
-		return old
+// sameListing reports whether this host is known to have stayed on the host
+// list from one view to the next.
+func sameListing(old, v *view.View) bool {
+	return old.ListedRevision != 0 && old.ListedRevision == v.ListedRevision
+}
+
+func (r *Router) applyHosts(at time.Duration, v *view.View) {
+	self := r.fleet.self
+	came, went := r.fleet.update(at, v)
+	if self == r.fleet.self {
+		r.rankChanges(came, went)
+		return
 	}
-	s := &service{doc: doc, leaves: make(map[string]*leaf, len(doc.Leaves))}
-	for _, l := range doc.Leaves {
-		s.leaves[l.Name] = applyLeaf(old, doc, l, hosts)
+	for _, l := range r.leaves {
+		for _, srv := range l.servers {
+			srv.rank = r.fleet.rank(srv)
+		}
 	}
-	return s
 }
 
-func applyLeaf(old *service, doc *document.Service, l document.Leaf, hosts int) *leaf {
-	next := &leaf{}
-	for _, d := range l.Servers {
-		srv := known(old, l.Name, d)
-		if srv == nil {
-			srv = &Server{Service: doc.Name, Leaf: l.Name, ID: d.ID, Address: d.Address, DataCentre: d.DataCentre}
+func (r *Router) applyServices(at time.Duration, v *view.View) {
+	next := make(map[string]*service, len(v.Services))
+	changed := len(v.Services) != len(r.services)
+	for name, doc := range v.Services {
+		s := r.services[name]
+		if s == nil {
+			s = newService(name)
 		}
-		srv.leaving = d.Leaving
-		srv.out = doc.Out(d.DataCentre)
-		srv.share = connectionShare(doc, l, hosts)
-		next.servers = append(next.servers, srv)
+		if s.doc != doc {
+			changed = true
+			r.applyDocument(at, s, doc)
+		}
+		next[name] = s
+	}
+	r.services = next
+	if changed {
+		r.collectLeaves()
 	}
-	return next
 }
 
-func known(old *service, leafName string, d document.Server) *Server {
-	if old == nil || old.leaves[leafName] == nil {
-		return nil
-	}
-	for _, s := range old.leaves[leafName].servers {
-		if s.ID == d.ID && s.Address == d.Address && s.DataCentre == d.DataCentre {
-			return s
+// collectLeaves lists the leaves anew, in the order of the documents, so that
+// equal runs make equal decisions.
+func (r *Router) collectLeaves() {
+	r.leaves = r.leaves[:0]
+	for _, name := range sortedNames(r.services) {
+		s := r.services[name]
+		for i := range s.doc.Leaves {
+			r.leaves = append(r.leaves, s.leaves[s.doc.Leaves[i].Name])
 		}
 	}
-	return nil
 }
 
-func connectionShare(doc *document.Service, l document.Leaf, hosts int) int {
-	n := l.Connections / hosts
-	if doc.ConnectionsOf == document.ConnectionsOfLeaf && len(l.Servers) > 0 {
-		n /= len(l.Servers)
+func newService(name string) *service {
+	return &service{
+		name:    name,
+		leaves:  make(map[string]*leaf),
+		retries: newBudget(retryBurst),
+		hedges:  newBudget(hedgePool),
 	}
-	return max(n, 1)
 }
 
-// Pick returns the backend server for a leaf call, or nil and why. The caller
-// follows with Begin when it sends the call.
-func (r *Router) Pick(now time.Time, p Pick) (*Server, Reason) {
-	if !r.view.Valid(now) {
-		return nil, StaleView
-	}
-	s := r.services[p.Service]
-	if s == nil {
-		return nil, NoSuchServer
-	}
-	l := s.leaves[p.Leaf]
-	if l == nil {
-		return nil, UnknownLeaf
+func (r *Router) applyDocument(at time.Duration, s *service, doc *document.Service) {
+	s.doc = doc
+	next := make(map[string]*leaf, len(doc.Leaves))
+	for _, d := range doc.Leaves {
+		l := s.leaves[d.Name]
+		if l == nil {
+			l = &leaf{service: s, name: d.Name, hedges: newBudget(hedgeBurst)}
+		}
+		r.applyLeaf(at, l, d)
+		next[d.Name] = l
 	}
-	return r.best(l, p)
+	s.leaves = next
 }
 
-func (r *Router) best(l *leaf, p Pick) (*Server, Reason) {
-	var best *Server
-	reason := NoServer
-	for _, i := range r.opts.Rand.Perm(len(l.servers)) {
-		srv := l.servers[i]
-		switch {
-		case contains(p.Tried, srv):
-		case srv.out || srv.leaving:
-			reason = AllOut
-		case srv.inFlight >= srv.share:
-			reason = AllBusy
-		case best == nil || r.better(srv, best):
-			best = srv
+func (r *Router) applyLeaf(at time.Duration, l *leaf, d document.Leaf) {
+	old := l.servers
+	l.doc = d
+	l.servers = make([]*Server, 0, len(d.Servers))
+	for _, entry := range d.Servers {
+		srv := find(old, entry)
+		if srv == nil {
+			srv = newServer(l, entry)
+			srv.rank = r.fleet.rank(srv)
+			srv.home = entry.DataCentre == r.view.Self.DataCentre
+			srv.warmth.meet(at, len(old) > 0)
 		}
+		wasOut := srv.out
+		srv.leaving = entry.Leaving
+		srv.out = l.service.doc.Out(entry.DataCentre)
+		if wasOut && !srv.out {
+			srv.warmth.chill(at, srv)
+		}
+		l.servers = append(l.servers, srv)
 	}
-	if best != nil {
-		return best, Picked
+	for _, srv := range old {
+		srv.removed = !contains(l.servers, srv)
 	}
-	return nil, reason
 }
 
-func (r *Router) better(a, b *Server) bool {
-	if a.inFlight != b.inFlight {
-		return a.inFlight < b.inFlight
+func find(list []*Server, d document.Server) *Server {
+	for _, srv := range list {
+		if srv.is(d) {
+			return srv
+		}
 	}
-	home := r.view.Self.DataCentre
-	return a.DataCentre == home && b.DataCentre != home
+	return nil
+}
+
+// sortedNames returns the services' names in order.
+func sortedNames(services map[string]*service) []string {
+	return slices.Sorted(maps.Keys(services))
 }
 
 func contains(list []*Server, srv *Server) bool {
@@ -222,70 +244,3 @@
 	}
 	return false
 }
-
-// Begin records that a call to srv starts.
-func (r *Router) Begin(_ time.Time, srv *Server) { srv.inFlight++ }
-
-// Done records how a call that Begin counted has ended.
-func (r *Router) Done(_ time.Time, srv *Server, o Observation) {
-	srv.inFlight--
-	if o.Result == ResultOK {
-		srv.latency = o.Latency
-	}
-}
-
-// HedgeDelay returns how long to wait for the leaf before a second attempt.
-func (r *Router) HedgeDelay(service, leaf string) time.Duration {
-	return 50 * time.Millisecond
-}
-
-// SpendHedge takes one hedge from the leaf's budget and reports whether it
-// had one.
-func (r *Router) SpendHedge(now time.Time, service, leaf string) bool { return true }
-
-// SpendRetry takes one retry from the service's budget and reports whether it
-// had one.
-func (r *Router) SpendRetry(now time.Time, service string) bool { return true }
-
-// Backoff returns after how long coming back helps a refused request.
-func (r *Router) Backoff(now time.Time, service string, reason Reason) time.Duration {
-	return 100 * time.Millisecond
-}
-
-// Share is how many connections this host may hold to a backend server.
-type Share struct {
-	Server      *Server
-	Connections int
-	Protocol    document.Protocol
-}
-
-// Shares returns the connections to hold ahead of need, for every server.
-func (r *Router) Shares() []Share {
-	var out []Share
-	for _, s := range r.services {
-		for _, l := range s.leaves {
-			for _, srv := range l.servers {
-				out = append(out, Share{Server: srv, Connections: srv.share, Protocol: s.doc.Protocol})
-			}
-		}
-	}
-	return out
-}
-
-// Holder returns the host that holds the connections to srv: the zero Host
-// where this host does.
-func (r *Router) Holder(srv *Server) view.Host { return view.Host{} }
-
-// Suspicion is what hosts tell each other of a request that crashes backend
-// servers.
-type Suspicion struct {
-	Service     string    `cbor:"1,keyasint"`
-	Fingerprint uint64    `cbor:"2,keyasint"`
-	Until       time.Time `cbor:"3,keyasint"`
-}
-
-// NewSuspicions returns what this host has found since the last call.
-func (r *Router) NewSuspicions() []Suspicion { return nil }
-
-// Learn takes in a peer's suspicion.
-func (r *Router) Learn(now time.Time, s Suspicion) {}
--- /dev/null
+++ b/policy/shares.go
@@ -0,0 +1,297 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/view"
+)
+
+// allotment is this host's part of what a backend server offers the fleet.
+type allotment struct {
+	// rank is this host's place among the sharers of the server.
+	rank    int
+	sharers int
+	// share is how many connections this host may hold.
+	share int
+	// ceiling is how many calls this host may have in flight.
+	ceiling int
+	// holders are hosts that hold connections where this one holds none;
+	// they are valid for one epoch of the Router.
+	holders      []view.Host
+	holdersEpoch uint64
+}
+
+// Bounds of a host's calls in flight to one backend server.
+const (
+	// maxInFlight holds over multiplexed connections and through holders.
+	maxInFlight = 64
+	// maxHolders is over how many holders a host spreads calls to a server.
+	maxHolders = 8
+)
+
+// divided is a backend server that counts in dividing its leaf's connections.
+type divided struct {
+	srv *Server
+	// since is when it began to count.
+	since time.Duration
+	// until is when a server that gets no more work ceases to count; 0 while
+	// it is active.
+	until time.Duration
+}
+
+// divide updates which servers share the leaf's connections: those that get
+// work, and for a while those that did.
+func (l *leaf) divide(at, wait time.Duration) {
+	for i := range l.division {
+		d := &l.division[i]
+		switch {
+		case d.srv.active() && d.until != 0:
+			d.since, d.until = at, 0
+		case !d.srv.active() && d.until == 0:
+			d.until = at + wait
+		}
+	}
+	l.division = slices.DeleteFunc(l.division, func(d divided) bool {
+		return d.until != 0 && d.until <= at
+	})
+	for _, srv := range l.servers {
+		if srv.active() && l.entry(srv) == nil {
+			l.division = append(l.division, divided{srv: srv, since: at})
+		}
+	}
+}
+
+func (l *leaf) entry(srv *Server) *divided {
+	for i := range l.division {
+		if l.division[i].srv == srv {
+			return &l.division[i]
+		}
+	}
+	return nil
+}
+
+// connections returns how many connections srv takes from the whole fleet.
+func (l *leaf) connections(at, wait time.Duration, srv *Server) int {
+	if l.service.doc.ConnectionsOf == document.ConnectionsOfServer {
+		return l.doc.Connections
+	}
+	d := l.entry(srv)
+	if d == nil || at-d.since < wait {
+		return 0
+	}
+	rank := 0
+	for _, other := range l.division {
+		if other.srv != srv && other.srv.before(srv) {
+			rank++
+		}
+	}
+	return portion(l.doc.Connections, rank, len(l.division))
+}
+
+// before orders servers of a leaf alike on all hosts.
+func (s *Server) before(other *Server) bool {
+	if s.hash != other.hash {
+		return s.hash < other.hash
+	}
+	return s.ID+s.Address+s.DataCentre < other.ID+other.Address+other.DataCentre
+}
+
+// Advance does what the passing of time calls for: it lets shares grow that
+// had to wait and drops those of a view that is no longer valid. It reports
+// whether Shares has changed since it last returned true or Apply was called.
+func (r *Router) Advance(now time.Time) bool {
+	at := r.at(now)
+	if r.view == nil {
+		return false
+	}
+	valid := r.view.Valid(now)
+	if valid == r.sharing && (r.nextShare == 0 || at < r.nextShare) {
+		return false
+	}
+	return r.share(at, valid)
+}
+
+// share works out every server's allotment and reports whether one changed.
+func (r *Router) share(at time.Duration, valid bool) bool {
+	r.rankChanges(nil, r.fleet.forget(at))
+	r.epoch++
+	r.sharing = valid
+	r.relays = r.countRelays(at) > 0
+	r.nextShare = r.fleet.next(at)
+	changed := false
+	for _, l := range r.leaves {
+		l.divide(at, r.fleet.joinWait())
+		r.nextShare = earlier(r.nextShare, l.nextDivision(at, r.fleet.joinWait()))
+		for _, srv := range l.servers {
+			changed = r.allot(at, srv) || changed
+		}
+	}
+	return changed
+}
+
+// nextDivision returns when the division changes by time alone, or 0.
+func (l *leaf) nextDivision(at, wait time.Duration) time.Duration {
+	var next time.Duration
+	for _, d := range l.division {
+		due := d.until
+		if due == 0 {
+			due = d.since + wait
+		}
+		if due > at {
+			next = earlier(next, due)
+		}
+	}
+	return next
+}
+
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || (b != 0 && b < a) {
+		return b
+	}
+	return a
+}
+
+// allot works out one server's allotment and reports whether the share
+// changed.
+func (r *Router) allot(at time.Duration, srv *Server) bool {
+	old := srv.share
+	doc := srv.leaf.service.doc
+	srv.share, srv.ceiling = 0, 0
+	srv.sharers = r.fleet.size()
+	if !srv.active() || !r.sharing {
+		return old != 0
+	}
+	total := srv.leaf.connections(at, r.fleet.joinWait(), srv)
+	unit := max(r.opts.HolderConnections, 1)
+	if r.fleet.joined(at) {
+		srv.share = unit * portion(total/unit, srv.rank, srv.sharers)
+		srv.ceiling = r.callCeiling(doc, srv)
+	}
+	if srv.ceiling == 0 {
+		srv.share = 0
+	}
+	if srv.share == 0 && r.relays && total > 0 {
+		srv.ceiling = min(total, maxInFlight)
+	}
+	return old != srv.share
+}
+
+// callCeiling returns how many calls fit in the connections held.
+func (r *Router) callCeiling(doc *document.Service, srv *Server) int {
+	n := srv.share
+	if doc.Protocol == document.HTTP2 {
+		n *= maxInFlight
+	}
+	if doc.SlotsMean == document.SlotsAreConcurrency {
+		n = min(n, portion(srv.leaf.doc.Slots, srv.rank, srv.sharers))
+	}
+	return n
+}
+
+// rankChanges moves this host's rank at every server past the members that
+// came and went.
+func (r *Router) rankChanges(came, went []*member) {
+	self := r.fleet.self
+	if self == nil || len(came)+len(went) == 0 {
+		return
+	}
+	for _, l := range r.leaves {
+		for _, srv := range l.servers {
+			srv.rank += preceding(came, self, srv) - preceding(went, self, srv)
+		}
+	}
+}
+
+func preceding(list []*member, self *member, srv *Server) int {
+	n := 0
+	for _, m := range list {
+		if m != self && precedes(m, self, srv) {
+			n++
+		}
+	}
+	return n
+}
+
+// Share is how many connections this host may hold to a backend server.
+type Share struct {
+	Server      *Server
+	Connections int
+	Protocol    document.Protocol
+}
+
+// Shares returns the connections to hold ahead of need, for every server that
+// this host holds any to. A server that is missing gets none.
+func (r *Router) Shares() []Share {
+	out := make([]Share, 0, len(r.leaves))
+	for _, l := range r.leaves {
+		for _, srv := range l.servers {
+			if srv.share > 0 {
+				out = append(out, Share{Server: srv, Connections: srv.share, Protocol: l.service.doc.Protocol})
+			}
+		}
+	}
+	return out
+}
+
+// Holder returns a host that holds connections to srv: the zero Host where
+// this host does, or where none is known.
+func (r *Router) Holder(srv *Server) view.Host {
+	if srv.share > 0 {
+		return view.Host{}
+	}
+	if srv.holdersEpoch != r.epoch {
+		srv.holders = r.findHolders(srv)
+		srv.holdersEpoch = r.epoch
+	}
+	if len(srv.holders) == 0 {
+		return view.Host{}
+	}
+	return srv.holders[r.opts.Rand.IntN(len(srv.holders))]
+}
+
+// findHolders returns the established hosts that come first in sharing srv.
+func (r *Router) findHolders(srv *Server) []view.Host {
+	n := min(r.holderCount(srv), maxHolders)
+	var first []*member
+	for _, m := range r.fleet.members {
+		if m == r.fleet.self || !r.fleet.established(r.last, m) {
+			continue
+		}
+		i := len(first)
+		for i > 0 && precedes(m, first[i-1], srv) {
+			i--
+		}
+		if i < n {
+			first = slices.Insert(first, i, m)
+			first = first[:min(len(first), n)]
+		}
+	}
+	hosts := make([]view.Host, len(first))
+	for i, m := range first {
+		hosts[i] = m.host
+	}
+	return hosts
+}
+
+// holderCount returns how many hosts hold connections to srv.
+func (r *Router) holderCount(srv *Server) int {
+	total := srv.leaf.connections(r.last, r.fleet.joinWait(), srv)
+	n := total / max(r.opts.HolderConnections, 1)
+	if srv.leaf.service.doc.SlotsMean == document.SlotsAreConcurrency {
+		n = min(n, srv.leaf.doc.Slots)
+	}
+	return n
+}
+
+// countRelays returns how many peers could hold connections for this host.
+func (r *Router) countRelays(at time.Duration) int {
+	n := 0
+	for _, m := range r.fleet.members {
+		if m != r.fleet.self && r.fleet.established(at, m) {
+			n++
+		}
+	}
+	return n
+}
--- a/view/view.go
+++ b/view/view.go
@@ -25,6 +25,13 @@
 type View struct {
 	// Self is the host that holds the view.
 	Self Host
+	// Unlisted is set while the platform's host list does not hold Self: the
+	// other hosts do not know of it yet, or no longer.
+	Unlisted bool
+	// ListedRevision is the platform's revision of Self's entry in the host
+	// list; it changes when the entry is taken off and put back. 0 where it is
+	// not known.
+	ListedRevision int64
 	// Hosts are all known hosts, Self included, sorted by ID.
 	Hosts []Host
 	// Services are the documents in force, by service name.
