Open connections to the end even when their call is given up

Cause of a failure of TestShareIsNeverExceeded on a busy machine (1 of 1 run of all tests): a call cancelled while its connection was opening freed the place, but the server had already accepted the connection and counted it.

Change: a connection is opened under the pool's context, not the call's. When the call ends first, the connection serves later calls.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -15,6 +15,8 @@
 
 // conns are this host's connections to one backend server.
 type conns struct {
+	// ctx ends when the pool closes.
+	ctx       context.Context
 	address   string
 	transport *http.Transport
 	places    *places
@@ -24,11 +26,11 @@
 	closed bool
 }
 
-func newConns(address string, protocol document.Protocol) *conns {
+func newConns(ctx context.Context, address string, protocol document.Protocol) *conns {
 	p := new(http.Protocols)
 	p.SetHTTP1(protocol == document.HTTP1)
 	p.SetUnencryptedHTTP2(protocol == document.HTTP2)
-	c := &conns{address: address, places: newPlaces()}
+	c := &conns{ctx: ctx, address: address, places: newPlaces()}
 	c.transport = &http.Transport{Protocols: p, DisableCompression: true, DialContext: c.places.dial}
 	return c
 }
@@ -52,6 +54,9 @@
 	c.open = kept
 }
 
+// openTimeout bounds how long a connection takes to open.
+const openTimeout = time.Second
+
 // freeWait bounds how long a call waits for a connection whose last call has
 // just ended: the decisions count a call as over a moment before net/http
 // hands its connection back.
@@ -66,8 +71,12 @@
 		if cc := c.reserve(); cc != nil {
 			return cc, nil
 		}
-		if cc, err := c.dial(ctx, true); !errors.Is(err, errNoConnection) {
-			return cc, err
+		err := c.openFor(ctx)
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, errNoConnection) {
+			return nil, err
 		}
 		select {
 		case <-freed:
@@ -79,6 +88,24 @@
 	}
 }
 
+// openFor opens a connection and waits for it. When ctx ends first, the
+// connection is opened all the same and serves later calls: the backend
+// server may have taken it already, and giving it up would free its place too
+// early.
+func (c *conns) openFor(ctx context.Context) error {
+	if c.places.full() {
+		return errNoConnection
+	}
+	opened := make(chan error, 1)
+	go func() { opened <- c.openOne() }()
+	select {
+	case err := <-opened:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // reserve returns a connection with room, or nil.
 func (c *conns) reserve() *http.ClientConn {
 	c.mu.Lock()
@@ -92,38 +119,27 @@
 	return nil
 }
 
-// dial opens a connection, and reserves it where asked. The error is
-// errNoConnection when the share is used up.
-func (c *conns) dial(ctx context.Context, reserve bool) (*http.ClientConn, error) {
+// openOne opens one connection. The error is errNoConnection when the share is
+// used up.
+func (c *conns) openOne() error {
 	if c.places.full() {
-		return nil, errNoConnection
+		return errNoConnection
 	}
+	ctx, cancel := context.WithTimeout(c.ctx, openTimeout)
+	defer cancel()
 	cc, err := c.transport.NewClientConn(ctx, "http", c.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		_ = cc.Close()
-		return nil, errNoConnection
-	}
-	if reserve {
-		if err := cc.Reserve(); err != nil {
-			_ = cc.Close()
-			return nil, err
-		}
+		return errNoConnection
 	}
 	c.open = append(c.open, cc)
 	cc.SetStateHook(func(*http.ClientConn) { c.places.freed.send() })
-	return cc, nil
-}
-
-// fill opens one connection if the share leaves room, and reports whether
-// there may be room for more.
-func (c *conns) fill(ctx context.Context) bool {
-	_, err := c.dial(ctx, false)
-	return err == nil
+	return nil
 }
 
 // prune drops connections that have failed. The caller holds mu.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -57,7 +57,7 @@
 		key := keyOf(s)
 		c := p.servers[key]
 		if c == nil {
-			c = newConns(s.Server.Address, s.Protocol)
+			c = newConns(p.ctx, s.Server.Address, s.Protocol)
 		}
 		c.setLimit(s.Connections)
 		next[key] = c
@@ -79,7 +79,7 @@
 		p.filling.Add(1)
 		go func() {
 			defer p.filling.Done()
-			for c.fill(p.ctx) {
+			for c.openOne() == nil {
 			}
 		}()
 	}
--- a/backend/socket.go
+++ b/backend/socket.go
@@ -84,12 +84,23 @@
 	}
 	tcp, err := dialTCP(ctx, address)
 	if err != nil {
-		p.release()
+		p.releaseFailed(ctx)
 		return nil, err
 	}
 	return &socket{TCPConn: tcp, places: p}, nil
 }
 
+// releaseFailed gives back the place of a connection that could not be
+// opened: at once when the server refused it, after lingerLimit when this side
+// gave up, as the server may have taken it.
+func (p *places) releaseFailed(ctx context.Context) {
+	if ctx.Err() == nil {
+		p.release()
+		return
+	}
+	time.AfterFunc(lingerLimit, p.release)
+}
+
 func dialTCP(ctx context.Context, address string) (*net.TCPConn, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
