--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/command"
+	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/query"
@@ -38,6 +40,8 @@
 	Forwarder Forwarder
 	// Clock returns the host's time.
 	Clock func() time.Time
+	// Recorder is optional.
+	Recorder Recorder
 }
 
 // Runner drives the engines. It is safe for concurrent use.
@@ -47,21 +51,31 @@
 	mu       sync.Mutex
 	queries  map[query.RunID]chan query.Finish
 	commands map[command.RunID]chan command.Finish
-	cancels  map[leafcall.ID]context.CancelFunc
-	closed   bool
+	calls    map[leafcall.ID]call
+
+	view atomic.Pointer[view.View]
 
 	wake    chan struct{}
 	stop    chan struct{}
 	working sync.WaitGroup
 }
 
+// call is a leaf call in progress.
+type call struct {
+	cancel  context.CancelFunc
+	command bool
+}
+
 // NewRunner returns a Runner; Run must be called for timers to fire.
 func NewRunner(opts Options) *Runner {
+	if opts.Recorder == nil {
+		opts.Recorder = noRecorder{}
+	}
 	return &Runner{
 		opts:     opts,
 		queries:  make(map[query.RunID]chan query.Finish),
 		commands: make(map[command.RunID]chan command.Finish),
-		cancels:  make(map[leafcall.ID]context.CancelFunc),
+		calls:    make(map[leafcall.ID]call),
 		wake:     make(chan struct{}, 1),
 		stop:     make(chan struct{}),
 	}
@@ -72,6 +86,7 @@
 	r.mu.Lock()
 	r.opts.Router.Apply(r.opts.Clock(), v)
 	shares := r.opts.Router.Shares()
+	r.view.Store(v)
 	r.mu.Unlock()
 	r.opts.Carrier.Apply(shares)
 }
@@ -93,20 +108,33 @@
 // Query runs a query to its end. It returns an answer or a problem; both are
 // nil when ctx ended first.
 func (r *Runner) Query(ctx context.Context, req query.Request) (*figmast.QueryAnswer, *figmast.Problem) {
+	start := Start{Request: req.ID, Service: req.Service, Operation: req.Operation, Kind: document.Query}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan query.Finish, 1)
-	r.mu.Lock()
-	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
-	r.queries[id] = done
-	r.runQuery(acts)
-	r.mu.Unlock()
+	id := r.startQuery(req, done)
 	r.nudge()
+	var f query.Finish
 	select {
-	case f := <-done:
-		return f.Answer, f.Problem
+	case f = <-done:
 	case <-ctx.Done():
 		r.abandon(id)
-		return nil, nil
 	}
+	end := End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)}
+	if f.Answer != nil {
+		end.Coverage = f.Answer.Coverage
+	}
+	r.opts.Recorder.Ended(end)
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startQuery(req query.Request, done chan query.Finish) query.RunID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
+	r.queries[id] = done
+	r.runQuery(acts)
+	return id
 }
 
 func (r *Runner) abandon(id query.RunID) {
@@ -119,25 +147,66 @@
 // Command runs a command to its end. A caller that goes away does not stop
 // it; both results are nil then.
 func (r *Runner) Command(ctx context.Context, req command.Request) (*figmast.CommandAnswer, *figmast.Problem) {
+	start := Start{
+		Request: req.ID, Service: req.Service, Operation: req.Operation,
+		Kind: document.Command, Forwarded: req.Forwarded,
+	}
+	r.opts.Recorder.Started(start)
+	began := r.opts.Clock()
 	done := make(chan command.Finish, 1)
+	r.startCommand(req, done)
+	r.nudge()
+	var f command.Finish
+	select {
+	case f = <-done:
+	case <-ctx.Done():
+	}
+	r.opts.Recorder.Ended(End{Start: start, Answered: f.Answer != nil, Problem: f.Problem, Took: r.opts.Clock().Sub(began)})
+	return f.Answer, f.Problem
+}
+
+func (r *Runner) startCommand(req command.Request, done chan command.Finish) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	id, acts := r.opts.Commands.Start(r.opts.Clock(), req)
 	r.commands[id] = done
 	r.runCommand(acts)
-	r.mu.Unlock()
-	select {
-	case f := <-done:
-		return f.Answer, f.Problem
-	case <-ctx.Done():
-		return nil, nil
+}
+
+// Mint returns a ticket for one command of the service, or why there is none.
+func (r *Runner) Mint(service string) (command.Ticket, *figmast.Problem) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 5 * time.Millisecond
+
+// Drain takes no more commands and waits until no caller waits and no command
+// runs, or until ctx is done; then it returns the cause. It tells what the
+// command engine then holds, which is forgotten when the process ends. Calls
+// of queries that have been answered may still be ending.
+func (r *Runner) Drain(ctx context.Context) (command.Stats, error) {
+	for {
+		held, idle := r.settled()
+		if idle {
+			return held, nil
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return held, context.Cause(ctx)
+		}
 	}
 }
 
-// Mint returns a ticket for one command of the service.
-func (r *Runner) Mint(service string) command.Ticket {
+func (r *Runner) settled() (held command.Stats, idle bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.opts.Commands.Mint(r.opts.Clock(), service)
+	r.opts.Commands.Close()
+	held = r.opts.Commands.Stats()
+	return held, len(r.queries) == 0 && len(r.commands) == 0 && held.Running+held.Waiting == 0
 }
 
 // Run fires timers until Stop.
@@ -163,11 +232,15 @@
 func (r *Runner) untilNext() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next, ok := r.opts.Queries.Next()
-	if !ok {
-		return idleTick
+	wait := idleTick
+	now := r.opts.Clock()
+	if next, ok := r.opts.Queries.Next(); ok {
+		wait = min(wait, next.Sub(now))
+	}
+	if next, ok := r.opts.Commands.Next(); ok {
+		wait = min(wait, next.Sub(now))
 	}
-	return min(max(next.Sub(r.opts.Clock()), 0), idleTick)
+	return max(wait, 0)
 }
 
 func (r *Runner) tick() {
@@ -185,26 +258,35 @@
 	}
 }
 
-// Stop ends Run, gives up queries' calls and waits for all calls to end.
-func (r *Runner) Stop() {
+// Stop ends Run and gives up queries' calls. It waits for commands to end
+// until ctx is done, then gives up the rest, and returns when nothing is left.
+func (r *Runner) Stop(ctx context.Context) {
 	close(r.stop)
+	r.giveUp(func(c call) bool { return !c.command })
+	over := context.AfterFunc(ctx, func() { r.giveUp(func(call) bool { return true }) })
+	defer over()
+	r.working.Wait()
+}
+
+func (r *Runner) giveUp(which func(call) bool) {
 	r.mu.Lock()
-	r.closed = true
-	for _, cancel := range r.cancels {
-		cancel()
+	defer r.mu.Unlock()
+	for _, c := range r.calls {
+		if which(c) {
+			c.cancel()
+		}
 	}
-	r.mu.Unlock()
-	r.working.Wait()
 }
 
 // runQuery carries out a query's actions. The caller holds mu.
 func (r *Runner) runQuery(a query.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
 	for _, c := range a.Cancel {
-		if cancel := r.cancels[c.ID]; cancel != nil {
-			cancel()
+		if running, ok := r.calls[c.ID]; ok {
+			running.cancel()
 		}
 	}
 	for _, f := range a.Finish {
@@ -218,6 +300,7 @@
 
 // runCommand carries out a command's actions. The caller holds mu.
 func (r *Runner) runCommand(a command.Actions) {
+	r.opts.Recorder.Decided(a.Decisions)
 	for _, s := range a.Send {
 		r.send(s)
 	}
@@ -235,13 +318,15 @@
 
 func (r *Runner) send(s leafcall.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r.cancels[s.ID] = cancel
+	r.calls[s.ID] = call{cancel: cancel, command: s.Command}
 	s.Guard = r.guard(s.Guard)
 	r.working.Add(1)
 	go func() {
 		defer r.working.Done()
 		defer cancel()
+		began := r.opts.Clock()
 		res := r.opts.Carrier.Call(ctx, s)
+		r.opts.Recorder.CallEnded(s, res, r.opts.Clock().Sub(began))
 		r.reply(s, res)
 	}()
 }
@@ -249,19 +334,14 @@
 // guard adds the check that the view in force may still be acted on.
 func (r *Runner) guard(also func(time.Time) bool) func(time.Time) bool {
 	return func(now time.Time) bool {
-		if also != nil && !also(now) {
-			return false
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.opts.Router.View().Valid(now)
+		return r.view.Load().Valid(now) && (also == nil || also(now))
 	}
 }
 
 func (r *Runner) reply(s leafcall.Send, res leafcall.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.cancels, s.ID)
+	delete(r.calls, s.ID)
 	now := r.opts.Clock()
 	if s.Command {
 		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
