--- a/bench/bench.go
+++ b/bench/bench.go
@@ -75,6 +75,9 @@
 	// Untrue counts answers of mixed snapshots or overstated coverage,
 	// refusals that wrongly say not run, and answers after the deadline.
 	Untrue int
+	// Reasons count the queries without an answer and the leaves missing from
+	// answers.
+	Reasons map[string]int
 
 	offered, answered [2]float64 // all and urgent
 	latencies         []float64
@@ -121,6 +124,9 @@
 	return *w.result
 }
 
+// payloads is how many different queries callers send for one operation.
+const payloads = 1000
+
 // drainTime lets the last queries end.
 const drainTime = 3 * time.Second
 
@@ -150,7 +156,7 @@
 func (w *world) offer(service string, o document.Operation) {
 	w.seq++
 	r := &request{sentAt: w.now, Request: query.Request{
-		ID: fmt.Sprintf("r%d", w.seq), Service: service, Operation: o.Name, Payload: []byte("null"),
+		ID: fmt.Sprintf("r%d", w.seq), Service: service, Operation: o.Name, Payload: fmt.Appendf(nil, "%d", w.rnd.IntN(payloads)),
 		Urgency: o.Urgency, Worth: o.Worth, Deadline: w.time().Add(o.Deadline.Std()),
 	}}
 	if w.now >= warmUp {
@@ -166,6 +172,12 @@
 // submit sends the query to the host that the balancer picks.
 func (w *world) submit(r *request) {
 	r.host = w.hosts[w.rnd.IntN(len(w.hosts))]
+	for range 2 * len(w.hosts) {
+		if r.host.ready {
+			break
+		}
+		r.host = w.hosts[w.rnd.IntN(len(w.hosts))]
+	}
 	w.open[r.ID] = r
 	w.after(toCaller, func() { r.host.start(r) })
 }
@@ -201,6 +213,7 @@
 	if r.sent {
 		w.result.needed += len(w.docs[r.Service].Leaves)
 	}
+	w.result.Reasons[f.Problem.Step+": "+f.Problem.Detail]++
 	if f.Problem.Detail == "stale_view" && !r.resent {
 		r.resent = true
 		w.submit(r)
@@ -217,6 +230,9 @@
 		return
 	}
 	res := w.result
+	for _, m := range ans.Missing {
+		res.Reasons["missing: "+m.Reason]++
+	}
 	res.useful += len(ans.Results)
 	res.answered[0] += r.Worth
 	w.bucket(r.sentAt).answered += r.Worth
--- a/bench/host.go
+++ b/bench/host.go
@@ -30,6 +30,7 @@
 	pools    map[string]*pool
 	calls    map[leafcall.ID]*call
 	requests map[query.RunID]*request
+	ready    bool // as the balancer last saw it
 	cut      bool // partitioned from the platform and most hosts
 	wakeAt   time.Duration
 }
@@ -63,17 +64,33 @@
 		h.docs[name] = d
 	}
 	h.apply()
+	h.share()
+}
+
+// share holds the connections that are this host's now.
+func (h *host) share() {
+	held := make(map[string]bool)
 	for _, s := range h.router.Shares() {
+		held[s.Server.ID] = true
 		h.pool(s.Server).resize(s.Connections)
 	}
+	for _, s := range h.world.order {
+		if p := h.pools[s.id]; p != nil && !held[s.id] {
+			p.resize(0)
+		}
+	}
 }
 
 // confirm keeps the view valid while the platform or the peers confirm it,
-// and spreads crash suspects.
+// spreads crash suspects, and answers the balancer's check.
 func (h *host) confirm() {
 	if !h.cut {
 		h.apply()
 	}
+	if h.router.Advance(h.world.time()) {
+		h.share()
+	}
+	h.ready = h.router.View().Valid(h.world.time())
 	h.world.after(confirmEvery, h.confirm)
 }
 
--- a/bench/world.go
+++ b/bench/world.go
@@ -83,7 +83,7 @@
 	w := &world{
 		workload: c.Workload, config: c, rnd: rand.New(rand.NewPCG(c.Seed, 1)),
 		servers: make(map[string]*server), docs: make(map[string]*document.Service),
-		platform: true, load: c.Load, result: &Result{},
+		platform: true, load: c.Load, result: &Result{Reasons: make(map[string]int)},
 		open: make(map[string]*request), snapshots: make(map[string]document.Snapshot),
 	}
 	for _, d := range c.Workload.documents() {
