Query: a waiting part asks anew every 40 ms, not every 10

Cause: each question that a full leaf refuses counts as overload with the Router, which then stops hedges. A part is served anyway when a call to its leaf ends; the timer is for what time alone changes.

--- a/query/part.go
+++ b/query/part.go
@@ -13,7 +13,7 @@
 const (
 	// busyPoll is how often a waiting part asks anew, beside each time that a
 	// call to its leaf ends.
-	busyPoll = 10 * time.Millisecond
+	busyPoll = 40 * time.Millisecond
 	// usualReplicas is how many servers a part can have tried before a list
 	// is allocated.
 	usualReplicas = 4
