Query: histories of random runs, checked from outside; no call at the deadline

Found by it: a waiting part could be sent at the very deadline of its query, when a poll and the deadline fell together; the deadline is now looked at first, in the leaf's queue and in the tick.

--- a/query/leafqueue.go
+++ b/query/leafqueue.go
@@ -75,6 +75,10 @@
 func (q *leafQueue) serve(now time.Time) {
 	for len(q.parts) > 0 {
 		p := q.parts[0]
+		if !now.Before(p.run.req.Deadline) {
+			p.run.finish(now)
+			continue
+		}
 		srv, reason := p.pick(now, false)
 		if srv == nil && waitable(reason) {
 			return
--- a/query/run.go
+++ b/query/run.go
@@ -238,6 +238,10 @@
 		r.expire(now)
 		return
 	}
+	if !now.Before(r.req.Deadline) {
+		r.finish(now)
+		return
+	}
 	for i := len(r.open) - 1; i >= 0; i-- {
 		if i < len(r.open) {
 			r.open[i].tick(now)
