--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -53,6 +53,7 @@
 	doc := shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
 	hosts := hostList(620, 6)
 	for range b.N {
-		newTestRouter(1, Options{}).Apply(epoch, viewOf(hosts[0], hosts, doc))
+		r := newTestRouter(1, Options{})
+		r.Apply(epoch, viewOf(hosts[0], hosts, doc))
 	}
 }
--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -27,9 +27,6 @@
 	// widenAfter is how long a host that may not send to a cold server yet
 	// takes one doubling to last on the hosts that may.
 	widenAfter = 3 * time.Second
-	// disbelieveAfter is how long a server may say that it is cold while it
-	// does as well as its peers.
-	disbelieveAfter = time.Minute
 )
 
 // warmth is how far a server has come from its cold start. Its level is how
@@ -40,14 +37,13 @@
 	level int
 	// progress is the successes at a full part since the level was reached.
 	progress float64
-	// since is when the level was reached or the server last said it is cold.
+	// since is when the level was reached.
 	since time.Duration
-	// signAt is the last sign of cold beyond what the server says.
-	signAt time.Duration
 	// slow and sheds hold the last eight results, one bit each.
 	slow  uint8
 	sheds uint8
-	// disbelieved is set for a server that says it is cold but is not.
+	// disbelieved is set for a server that still said it was cold when it bore
+	// a warm server's work; it holds until the server stops saying so.
 	disbelieved bool
 }
 
@@ -65,7 +61,7 @@
 func (w *warmth) meet(at time.Duration, othersKnown bool) {
 	if othersKnown {
 		w.state = cold
-		w.since, w.signAt = at, at
+		w.since = at
 	}
 }
 
@@ -74,7 +70,7 @@
 	w.state = cold
 	w.level = s.leaf.service.doc.ColdStart.Allowance
 	w.progress = 0
-	w.since, w.signAt = at, at
+	w.since = at
 	w.slow, w.sheds = 0, 0
 }
 
@@ -115,7 +111,7 @@
 		w.state = warm
 	}
 	w.note(at, s, x)
-	if w.state != cold || w.slow&1 != 0 || (x.saidCold && !w.disbelieved) {
+	if w.state != cold || w.slow&1 != 0 {
 		return
 	}
 	part := s.portionOf(w.level)
@@ -125,7 +121,7 @@
 	w.progress += float64(min(busy, part)) / float64(part)
 	quota := float64(s.leaf.service.doc.ColdStart.WarmAfter*part) / float64(w.level)
 	if w.progress >= max(quota, 1) {
-		w.rise(at, s)
+		w.rise(at, s, x.saidCold)
 	}
 }
 
@@ -146,24 +142,20 @@
 }
 
 // shed records a refusal. It shows a cold server while its peers answer, or
-// when it is known to be cold.
+// when it is known to be cold; a service that is overloaded sheds anywhere.
 func (w *warmth) shed(at time.Duration, s *Server) {
 	w.sheds = w.sheds<<1 | 1
-	if w.state == cold || (bits.OnesCount8(w.sheds) >= shedOfEight && s.leaf.peersAnswer(s)) {
+	alone := bits.OnesCount8(w.sheds) >= shedOfEight && s.leaf.peersAnswer(s)
+	if w.state == cold || (alone && s.leaf.service.flow.overload(at) < hedgeOverload) {
 		w.chill(at, s)
 	}
 }
 
-// saidCold takes in that the server calls itself cold.
+// saidCold takes in that the server calls itself cold. A server that does so
+// while it does as well as a warm one is not believed twice.
 func (w *warmth) saidCold(at time.Duration, s *Server) {
-	switch {
-	case w.disbelieved:
-	case w.state != cold || w.level > s.leaf.service.doc.ColdStart.Allowance:
+	if w.state != cold && !w.disbelieved {
 		w.chill(at, s)
-	case at-w.signAt >= disbelieveAfter:
-		w.disbelieved = true
-	default:
-		w.since = at
 	}
 }
 
@@ -179,12 +171,13 @@
 }
 
 // rise doubles the level; a server that bears all this host may send is warm.
-func (w *warmth) rise(at time.Duration, s *Server) {
+func (w *warmth) rise(at time.Duration, s *Server, saidCold bool) {
 	w.level *= 2
 	w.progress = 0
 	w.since = at
 	if s.portionOf(w.level) >= min(s.ceiling, s.limiter.whole()) && s.ceiling > 0 {
 		w.state = warm
+		w.disbelieved = saidCold
 	}
 }
 
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -8,6 +8,9 @@
 	firstHedgeDelay = 50 * time.Millisecond
 	// minHedgeDelay is below what a second attempt can gain.
 	minHedgeDelay = time.Millisecond
+	// hedgeMargin is the part of the budget that the delay is set for, so that
+	// there is a token left when a straggler shows.
+	hedgeMargin = 0.75
 	// hedgeOverload is the share of calls refused for load, above which second
 	// attempts would do harm.
 	hedgeOverload = 0.05
@@ -22,7 +25,7 @@
 		return firstHedgeDelay
 	}
 	h := l.service.doc.Hedging
-	d := l.latency.want(max(h.Quantile, 1-h.Budget))
+	d := l.latency.want(max(h.Quantile, 1-hedgeMargin*h.Budget))
 	if d == 0 {
 		return firstHedgeDelay
 	}
--- a/policy/limiter.go
+++ b/policy/limiter.go
@@ -12,11 +12,13 @@
 	timeoutCut = 0.9
 	slowCut    = 0.9
 	// slowLoad is how many times its usual latency a server may take.
-	slowLoad = 2.5
+	slowLoad = 2
 	// slowMargin is the least excess that counts as slow.
 	slowMargin = time.Millisecond
 	// usualWindow is how long the usual latency is remembered, at least.
 	usualWindow = time.Minute
+	// medianSteps is in how many steps the median moves by its own size.
+	medianSteps = 32
 )
 
 // limiter bounds the calls in flight to one server: it grows by one for each
@@ -24,7 +26,9 @@
 // or becomes slow against its latency without load.
 type limiter struct {
 	limit float64
-	// usual and previous are the least mean latencies of two windows.
+	// median follows the median latency, which stragglers do not move.
+	median time.Duration
+	// usual and previous are the least medians of two windows.
 	usual    time.Duration
 	previous time.Duration
 	windowAt time.Duration
@@ -40,10 +44,10 @@
 }
 
 // answered moves the limit after an answer with busy calls in flight.
-func (l *limiter) answered(at time.Duration, s *Server, busy int) {
-	mean := s.latency.mean
-	l.remember(at, mean)
-	if float64(mean) > slowLoad*float64(l.base())+float64(slowMargin) {
+func (l *limiter) answered(at time.Duration, s *Server, busy int, latency time.Duration) {
+	l.follow(latency)
+	l.remember(at)
+	if float64(l.median) > slowLoad*float64(l.base())+float64(slowMargin) {
 		l.cut(at, s, slowCut)
 		return
 	}
@@ -52,12 +56,24 @@
 	}
 }
 
-func (l *limiter) remember(at, mean time.Duration) {
-	if l.usual == 0 || mean < l.usual {
-		l.usual = mean
+// follow moves the median a step towards the sample.
+func (l *limiter) follow(sample time.Duration) {
+	switch {
+	case l.median == 0:
+		l.median = sample
+	case sample > l.median:
+		l.median += l.median / medianSteps
+	default:
+		l.median -= l.median / medianSteps
+	}
+}
+
+func (l *limiter) remember(at time.Duration) {
+	if l.usual == 0 || l.median < l.usual {
+		l.usual = l.median
 	}
 	if at-l.windowAt >= usualWindow {
-		l.previous, l.usual, l.windowAt = l.usual, mean, at
+		l.previous, l.usual, l.windowAt = l.usual, l.median, at
 	}
 }
 
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -48,6 +48,9 @@
 	if o.Holder {
 		return
 	}
+	if o.Cold {
+		srv.warmth.saidCold(at, srv)
+	}
 	switch o.Result {
 	case ResultOK:
 		srv.answered(at, busy, o)
@@ -58,9 +61,6 @@
 	case ResultFailed, ResultBroken:
 		srv.lost(at)
 	}
-	if o.Cold {
-		srv.warmth.saidCold(at, srv)
-	}
 	r.suspects.observe(at, srv, o, !r.opts.without.suspects)
 }
 
@@ -70,7 +70,7 @@
 	s.health.succeed()
 	s.latency.add(at, o.Latency)
 	s.leaf.latency.add(o.Latency)
-	s.limiter.answered(at, s, busy)
+	s.limiter.answered(at, s, busy, o.Latency)
 	s.warmth.answered(at, s, busy, sample{latency: o.Latency, peers: peers, saidCold: o.Cold})
 }
 
@@ -90,11 +90,14 @@
 	}
 }
 
-// refused takes in that the server shed a call.
+// refused takes in that the server shed a call. What a cold server refuses
+// tells nothing of what it bears when warm.
 func (s *Server) refused(at time.Duration, busy int) {
 	s.health.suffer(at, shedWeight)
-	s.limiter.shed(at, s, busy)
 	s.warmth.shed(at, s)
+	if s.warmth.state != cold {
+		s.limiter.shed(at, s, busy)
+	}
 }
 
 // lost takes in that the server could not be reached or broke off.
--- a/policy/server.go
+++ b/policy/server.go
@@ -63,7 +63,7 @@
 	fallDivisor = 16
 	// clipFactor bounds one sample to a multiple of the mean, so that one
 	// straggler does not hide what the server usually does.
-	clipFactor = 8
+	clipFactor = 3
 	// forgetAfter is the time in which a mean without new samples moves half
 	// way to its peers'.
 	forgetAfter = 10 * time.Second
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -16,7 +16,7 @@
 	// maxSuspects bounds the record; the oldest go first.
 	maxSuspects = 1024
 	// maxBreaks bounds the servers remembered for one request.
-	maxBreaks = 16
+	maxBreaks = 64
 	// stormWindow and stormRequests tell a network cut: so many requests broke
 	// off on several servers within the window.
 	stormWindow   = time.Second
@@ -57,8 +57,6 @@
 	byKey map[suspectKey]*suspect
 	// fresh are suspects that peers have not been told of.
 	fresh []suspectKey
-	// stormAt is when a storm was last seen.
-	stormAt time.Duration
 }
 
 func newSuspects() suspects {
@@ -133,57 +131,69 @@
 	}
 }
 
-// judge refuses a request that broke off on enough servers. Where many
-// requests did at once, only one that stands out is refused.
+// judge decides on a request that broke off on enough servers. Where many
+// requests did of late, only one that stands out is refused, and others that
+// were refused before that showed are let go.
 func (t *suspects) judge(at time.Duration, key suspectKey, x *suspect) {
-	requests, most := t.others(at, x)
-	if requests+1 >= stormRequests {
-		t.calm(at)
-		if len(x.breaks) < stormLead*most {
-			return
-		}
+	c := t.count(at)
+	if c.requests < stormRequests {
+		t.refuse(at, key, x)
+		return
 	}
-	if x.refusedUntil <= at {
-		t.fresh = append(t.fresh, key)
+	for key, y := range t.byKey {
+		switch {
+		case !y.recent(at):
+		case len(y.breaks) >= stormLead*c.mostBut(y):
+			t.refuse(at, key, y)
+		default:
+			y.refusedUntil = 0
+		}
 	}
-	x.refusedUntil = at + suspectFor
 }
 
-// others returns how many other requests broke off on several servers of late
-// and on how many servers the worst of them did.
-func (t *suspects) others(at time.Duration, but *suspect) (requests, most int) {
-	for _, y := range t.byKey {
-		if y == but || !y.recent(at) {
-			continue
-		}
-		requests++
-		most = max(most, len(y.breaks))
+// refuse makes the request a suspect that peers are to be told of.
+func (t *suspects) refuse(at time.Duration, key suspectKey, x *suspect) {
+	if x.refusedUntil <= at && !slices.Contains(t.fresh, key) {
+		t.fresh = append(t.fresh, key)
 	}
-	return requests, most
+	x.refusedUntil = at + suspectFor
 }
 
+// recent reports whether the request broke off on several servers of late.
 func (x *suspect) recent(at time.Duration) bool {
 	return at-x.last <= stormWindow && len(x.breaks) >= crashesToRefuse
 }
 
-// calm lifts, once at the beginning of a storm, the refusals made before it
-// was known as one.
-func (t *suspects) calm(at time.Duration) {
-	begins := at-t.stormAt > stormWindow
-	t.stormAt = at
-	if !begins {
-		return
-	}
-	for _, key := range t.fresh {
-		y := t.byKey[key]
-		if y != nil && y.recent(at) {
-			y.refusedUntil = 0
+// stormCount tells how many requests broke off on several servers of late and
+// on how many servers the worst two did.
+type stormCount struct {
+	requests int
+	most     int
+	second   int
+}
+
+func (t *suspects) count(at time.Duration) stormCount {
+	var c stormCount
+	for _, x := range t.byKey {
+		if !x.recent(at) {
+			continue
+		}
+		c.requests++
+		n := len(x.breaks)
+		if n > c.most {
+			c.most, n = n, c.most
 		}
+		c.second = max(c.second, n)
 	}
-	t.fresh = slices.DeleteFunc(t.fresh, func(key suspectKey) bool {
-		y := t.byKey[key]
-		return y == nil || y.refusedUntil == 0
-	})
+	return c
+}
+
+// mostBut returns the most servers of a request other than x.
+func (c stormCount) mostBut(x *suspect) int {
+	if len(x.breaks) == c.most {
+		return c.second
+	}
+	return c.most
 }
 
 // makeRoom drops records that have lapsed, and the oldest if none has.
