--- a/backend/pool.go
+++ b/backend/pool.go
@@ -57,7 +57,7 @@
 		key := keyOf(s)
 		c := p.servers[key]
 		if c == nil {
-			c = newConns(s.Server.Address, s.Protocol)
+			c = newConns(p.ctx, s.Server.Address, s.Protocol)
 		}
 		c.setLimit(s.Connections)
 		next[key] = c
@@ -79,7 +79,7 @@
 		p.filling.Add(1)
 		go func() {
 			defer p.filling.Done()
-			for c.fill(p.ctx) {
+			for c.openOne() == nil {
 			}
 		}()
 	}
@@ -89,11 +89,14 @@
 func (p *Pool) Close() {
 	p.cancel()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range p.servers {
 		c.close()
 	}
-	p.mu.Unlock()
 	p.filling.Wait()
+	for _, c := range p.servers {
+		c.drain()
+	}
 }
 
 // Call makes one call. It returns when the call has ended or ctx is done.
