Running calls outlive a change of shares; answers must be JSON

A server left the shares, its connections were closed under running calls, the stand-in saw the close and ended its answer with an empty body, and a read that was under way took that for an answer: setting a socket's read deadline back wakes no reader for good. Ruled out: payloads (the echo is checked elsewhere) and mixed-up connections (the echoed attempt matched).

Change: connections above a share are closed once their calls have ended; a retired server that comes back counts the connections it still has; a read that returns after this side has closed fails; a body that is not JSON is no answer, and leaves open whether the call ran. Test ports come from a range that outgoing connections do not use, each once: two stand-ins had got one port in 1 of 2 runs of all tests.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -21,9 +21,8 @@
 	transport *http.Transport
 	places    *places
 
-	mu     sync.Mutex
-	open   []*http.ClientConn
-	closed bool
+	mu   sync.Mutex
+	open []*http.ClientConn
 }
 
 func newConns(ctx context.Context, address string, protocol document.Protocol) *conns {
@@ -35,13 +34,20 @@
 	return c
 }
 
-// setLimit changes the share; idle connections above it are closed.
+// setLimit changes the share. Connections above it are closed once their
+// calls have ended; 0 retires the server.
 func (c *conns) setLimit(n int) {
 	c.places.setLimit(n)
+	c.trim()
+}
+
+// trim closes idle connections above the share.
+func (c *conns) trim() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.prune()
 	kept := c.open[:0]
-	excess := len(c.open) - n
+	excess := len(c.open) - c.places.share()
 	for _, cc := range c.open {
 		if excess > 0 && cc.InFlight() == 0 {
 			excess--
@@ -54,6 +60,15 @@
 	c.open = kept
 }
 
+// changed is called when a connection may have room again. It must not take
+// mu, as net/http may call it from within calls made under mu.
+func (c *conns) changed(*http.ClientConn) {
+	c.places.freed.send()
+	if c.places.over() {
+		go c.trim()
+	}
+}
+
 // openTimeout bounds how long a connection takes to open.
 const openTimeout = time.Second
 
@@ -133,12 +148,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.places.share() == 0 {
 		_ = cc.Close()
 		return errNoConnection
 	}
 	c.open = append(c.open, cc)
-	cc.SetStateHook(func(*http.ClientConn) { c.places.freed.send() })
+	cc.SetStateHook(c.changed)
 	return nil
 }
 
@@ -159,13 +174,15 @@
 	c.places.setLimit(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
 	for _, cc := range c.open {
 		_ = cc.Close()
 	}
 	c.open = nil
 }
 
+// unused reports whether the server is retired and its last connection gone.
+func (c *conns) unused() bool { return c.places.share() == 0 && !c.places.taken() }
+
 func (c *conns) drain() { c.places.drain() }
 
 // connsKey tells when two shares are of the same backend server.
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -49,28 +50,29 @@
 
 // Apply sets the shares of connections in force.
 func (p *Pool) Apply(shares []policy.Share) {
+	limits := make(map[connsKey]int, len(shares))
+	for _, s := range shares {
+		limits[keyOf(s)] += s.Connections
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := make(map[connsKey]*conns, len(shares))
-	byAddr := make(map[string]*conns, len(shares))
-	for _, s := range shares {
-		key := keyOf(s)
-		c := p.servers[key]
-		if c == nil {
-			c = newConns(p.ctx, s.Server.Address, s.Protocol)
+	for key := range limits {
+		if p.servers[key] == nil {
+			p.servers[key] = newConns(p.ctx, key.address, key.protocol)
 		}
-		c.setLimit(s.Connections)
-		next[key] = c
-		byAddr[key.address] = c
 	}
+	p.byAddr = make(map[string]*conns, len(limits))
 	for key, c := range p.servers {
-		if next[key] == nil {
-			c.close()
+		n, wanted := limits[key]
+		c.setLimit(n)
+		if wanted {
+			p.byAddr[key.address] = c
+		} else if c.unused() {
+			delete(p.servers, key)
 		}
 	}
-	p.servers, p.byAddr = next, byAddr
 	if p.opts.Preopen {
-		p.fill(byAddr)
+		p.fill(p.byAddr)
 	}
 }
 
@@ -204,6 +206,9 @@
 	}
 	notRun := h.Get(HeaderOutcome) == "not_run"
 	switch {
+	case resp.StatusCode == http.StatusOK && !json.Valid(body):
+		r.Status = leafcall.Broken
+		r.Err = failure(s, "answer", errors.New("the body is not JSON"))
 	case resp.StatusCode == http.StatusOK:
 		r.Status = leafcall.OK
 	case resp.StatusCode == http.StatusConflict && notRun:
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -209,6 +209,49 @@
 	}
 }
 
+// TestRunningCallsOutliveTheShare takes a server off, and brings it back,
+// while calls run on its connections.
+func TestRunningCallsOutliveTheShare(t *testing.T) {
+	is := is.New(t)
+	const share = 4
+	s := newServer(t, nil)
+	s.Set(fake.Behaviour{Latency: 200 * time.Millisecond})
+	p := newPool(t, s, share, document.HTTP1)
+	var done sync.WaitGroup
+	for range share {
+		done.Go(func() {
+			if res := p.Call(context.Background(), send(s)); res.Status != leafcall.OK {
+				t.Errorf("a running call was cut: %v", res.Err)
+			}
+		})
+	}
+	for end := time.Now().Add(10 * time.Second); s.MostAtOnce() < share && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	p.Apply(nil)
+	p.Apply([]policy.Share{{Server: s.target(), Connections: 1, Protocol: document.HTTP1}})
+	s.Set(fake.Behaviour{})
+	done.Wait()
+	is.Equal(p.Call(context.Background(), send(s)).Status, leafcall.OK)
+	is.Equal(s.most.Load(), int64(share))
+	for end := time.Now().Add(10 * time.Second); s.open.Load() > 1 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(s.open.Load(), int64(1)) // the share in force
+}
+
+// TestAnswerThatIsNotJSON takes a body that broke off for no answer.
+func TestAnswerThatIsNotJSON(t *testing.T) {
+	is := is.New(t)
+	s := newServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt))
+		w.Header().Set(backend.HeaderLeaf, r.Header.Get(backend.HeaderLeaf))
+	}))
+	res := newPool(t, s, 1, document.HTTP1).Call(context.Background(), send(s))
+	is.Equal(res.Status, leafcall.Broken)
+	is.True(!res.NotRun())
+}
+
 func TestPreopen(t *testing.T) {
 	is := is.New(t)
 	s := newServer(t, nil)
--- a/backend/socket.go
+++ b/backend/socket.go
@@ -76,6 +76,27 @@
 	return p.used >= p.limit
 }
 
+// over reports whether more places are taken than the limit now allows.
+func (p *places) over() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used > p.limit
+}
+
+// taken reports whether any place is.
+func (p *places) taken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used > 0
+}
+
+// share returns the limit.
+func (p *places) share() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
 // dial takes a place and opens a connection in it. The error is
 // errNoConnection when no place is left.
 func (p *places) dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -123,7 +144,11 @@
 	if s.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	return s.TCPConn.Read(b)
+	n, err := s.TCPConn.Read(b)
+	if s.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // Close closes this side, and the rest when the other side has followed or
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,15 +92,29 @@
 	hosts     []*host
 }
 
-// free returns an unused IP number and port on loopback.
+// Ports handed out to processes: below those that the system gives to
+// outgoing connections, from a place of its own for each test process.
+const (
+	firstPort = 20_000
+	ports     = 12_000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(ports)) }
+
+// free returns an unused IP number and port on loopback, never one twice.
 func free(t testing.TB, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		address := fmt.Sprintf("%s:%d", ip, firstPort+nextPort.Add(1)%ports)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func newFleet(t testing.TB) *fleet {
