--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -338,7 +338,11 @@
 func text(name string, version int, note string, out ...string) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "service: %s\nversion: %d\noperations:\n- {name: search, kind: query}\n", name, version)
-	fmt.Fprintf(&b, "leaves:\n- {name: l, slots: 1, connections: 9}\ndata_centres_out: [%s]\n", strings.Join(out, ", "))
+	b.WriteString("leaves:\n- {name: l, slots: 9, connections: 9, servers: [")
+	for i, dc := range out {
+		fmt.Fprintf(&b, "{id: s%d, address: \"127.0.0.1:%d\", data_centre: %s},", i, 9000+i, dc)
+	}
+	fmt.Fprintf(&b, "]}\ndata_centres_out: [%s]\n", strings.Join(out, ", "))
 	fmt.Fprintf(&b, "snapshots:\n- {id: s-%s, partition_map: m, weights: [{leaf: l, weight: 1}]}\n", note)
 	return []byte(b.String())
 }
