Crash suspects by a second crash, not by a second server

After the first break one call at a time tries the request; its answer clears it. Where three become suspects within a second, all are let go. Peers are told after 50 ms.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -67,10 +67,13 @@
 	if l == nil {
 		return nil, UnknownLeaf
 	}
-	if r.suspects.refuses(at, s.name, p) {
-		return nil, Suspect
+	if reason := r.suspects.reason(at, l, p); reason != Picked {
+		return nil, reason
 	}
 	srv, reason := r.choose(at, l, p)
+	if srv != nil {
+		r.suspects.picked(at, l, p)
+	}
 	s.flow.picked(at, reason)
 	return srv, reason
 }
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -61,7 +61,9 @@
 	case ResultFailed, ResultBroken:
 		srv.lost(at)
 	}
-	r.suspects.observe(at, srv, o, !r.opts.without.suspects)
+	if !r.opts.without.suspects {
+		r.suspects.observe(at, srv, o)
+	}
 }
 
 // answered takes in an answer; busy is how many calls were in flight.
--- a/policy/router.go
+++ b/policy/router.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/view"
 )
@@ -79,6 +81,7 @@
 type leaf struct {
 	service  *service
 	name     string
+	hash     uint64
 	doc      document.Leaf
 	servers  []*Server
 	division []divided
@@ -189,7 +192,7 @@
 	for _, d := range doc.Leaves {
 		l := s.leaves[d.Name]
 		if l == nil {
-			l = &leaf{service: s, name: d.Name, hedges: newBudget(hedgeBurst)}
+			l = &leaf{service: s, name: d.Name, hash: xxhash.Sum64String(s.name + "\x00" + d.Name), hedges: newBudget(hedgeBurst)}
 		}
 		r.applyLeaf(at, l, d)
 		next[d.Name] = l
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -7,9 +7,7 @@
 
 // Crash suspects.
 const (
-	// crashesToRefuse is on how many servers a request must have broken off.
-	crashesToRefuse = 2
-	// markFor is how long one break is remembered, suspectFor how long a
+	// markFor is how long a broken call is remembered, suspectFor how long a
 	// suspect is refused.
 	markFor    = 2 * time.Minute
 	suspectFor = 5 * time.Minute
@@ -17,16 +15,15 @@
 	maxSuspects = 1024
 	// maxBreaks bounds the servers remembered for one request.
 	maxBreaks = 64
-	// stormWindow and stormRequests tell a network cut: so many requests broke
-	// off on several servers within the window.
+	// stormWindow and stormRequests tell a network cut from crashes: so many
+	// requests would become suspects within the window.
 	stormWindow   = time.Second
 	stormRequests = 3
-	// stormLead is how many times the runner-up's servers a request must have
-	// broken off on to be a suspect in a storm.
-	stormLead = 2
 	// tellAfter is how long a finding waits before peers are told, so that a
 	// storm shows first.
-	tellAfter = 200 * time.Millisecond
+	tellAfter = 50 * time.Millisecond
+	// trialFor is how long a request with a break waits for its one trial.
+	trialFor = 300 * time.Millisecond
 )
 
 // Suspicion is what hosts tell each other of a request that crashes backend
@@ -47,8 +44,14 @@
 type suspect struct {
 	// breaks are the servers on which calls broke off.
 	breaks []*Server
-	last   time.Duration
-	// refusedUntil is set once the request is refused.
+	// known is when the first break was seen.
+	known time.Duration
+	last  time.Duration
+	// trial is when the one call began that shows whether the request crashes
+	// servers; 0 while there is none.
+	trial time.Duration
+	// refusedAt and refusedUntil are set once the request is refused.
+	refusedAt    time.Duration
 	refusedUntil time.Duration
 }
 
@@ -57,143 +60,130 @@
 	byKey map[suspectKey]*suspect
 	// fresh are suspects that peers have not been told of.
 	fresh []suspectKey
+	// refused are the latest that this host found.
+	refused []suspectKey
+	answers answers
 }
 
 func newSuspects() suspects {
 	return suspects{byKey: make(map[suspectKey]*suspect)}
 }
 
-// refuses reports whether the pick is for a request that may not be sent. A
-// request with one break may be tried once more, but not twice at once.
-func (t *suspects) refuses(at time.Duration, service string, p Pick) bool {
-	if len(t.byKey) == 0 || p.Fingerprint == 0 {
-		return false
+// reason tells why a request may not be sent now, or Picked. One with a break
+// is tried by one call at a time, on leaves that have not answered it.
+func (t *suspects) reason(at time.Duration, l *leaf, p Pick) Reason {
+	x := t.find(at, suspectKey{l.service.name, p.Fingerprint})
+	switch {
+	case x == nil:
+		return Picked
+	case x.refusedUntil > at:
+		return Suspect
+	case t.answers.has(at, l, p.Fingerprint):
+		return Picked
+	case p.Hedge:
+		return Suspect
+	case x.trial > 0 && at-x.trial < trialFor:
+		return AllBusy
 	}
-	x := t.byKey[suspectKey{service, p.Fingerprint}]
-	if x == nil {
-		return false
+	return Picked
+}
+
+// find returns the record of the request, or nil where none is in force.
+func (t *suspects) find(at time.Duration, key suspectKey) *suspect {
+	if len(t.byKey) == 0 || key.fingerprint == 0 {
+		return nil
 	}
-	if x.refusedUntil > at {
-		return true
+	x := t.byKey[key]
+	if x == nil || at-x.last > markFor && x.refusedUntil <= at {
+		return nil
 	}
-	return p.Hedge && at-x.last < markFor
+	return x
 }
 
-// observe takes in how a call ended.
-func (t *suspects) observe(at time.Duration, srv *Server, o Observation, on bool) {
-	if o.Fingerprint == 0 || !on {
-		return
-	}
-	key := suspectKey{srv.Service, o.Fingerprint}
-	switch {
-	case o.Result == ResultBroken:
-		t.broke(at, key, srv)
-	case o.Result == ResultOK && len(t.byKey) > 0:
-		t.clear(at, key, srv)
+// picked notes that a call of the request is about to begin.
+func (t *suspects) picked(at time.Duration, l *leaf, p Pick) {
+	x := t.find(at, suspectKey{l.service.name, p.Fingerprint})
+	if x != nil && !t.answers.has(at, l, p.Fingerprint) {
+		x.trial = at
 	}
 }
 
-// clear forgets breaks on the leaf's servers once one of them has answered
-// the request.
-func (t *suspects) clear(at time.Duration, key suspectKey, srv *Server) {
-	x := t.byKey[key]
-	if x == nil || x.refusedUntil > at {
+// observe takes in how a call ended.
+func (t *suspects) observe(at time.Duration, srv *Server, o Observation) {
+	if o.Fingerprint == 0 {
 		return
 	}
-	kept := x.breaks[:0]
-	for _, b := range x.breaks {
-		if b.leaf != srv.leaf {
-			kept = append(kept, b)
+	key := suspectKey{srv.Service, o.Fingerprint}
+	x := t.find(at, key)
+	if x != nil && at-o.Latency >= x.trial {
+		x.trial = 0
+	}
+	switch o.Result {
+	case ResultOK:
+		t.answers.add(at, srv.leaf, o.Fingerprint)
+		t.clear(at, key, x, o)
+	case ResultBroken:
+		if !t.answers.has(at, srv.leaf, o.Fingerprint) {
+			t.broke(at, key, x, srv, o)
 		}
 	}
-	x.breaks = kept
-	if len(kept) == 0 {
+}
+
+// clear forgets breaks of a request that was tried since and answered.
+func (t *suspects) clear(at time.Duration, key suspectKey, x *suspect, o Observation) {
+	if x != nil && x.refusedUntil <= at && at-o.Latency >= x.known {
 		delete(t.byKey, key)
 	}
 }
 
-func (t *suspects) broke(at time.Duration, key suspectKey, srv *Server) {
-	x := t.byKey[key]
+// broke records a break. A second one, on another server and of a call that
+// was sent when the first was known, makes the request a suspect: calls that
+// were sent together may have broken off together for any cause.
+func (t *suspects) broke(at time.Duration, key suspectKey, x *suspect, srv *Server, o Observation) {
 	if x == nil {
 		t.makeRoom(at)
-		x = &suspect{}
-		t.byKey[key] = x
-	}
-	if at-x.last > markFor {
-		x.breaks = nil
+		t.byKey[key] = &suspect{breaks: []*Server{srv}, known: at, last: at}
+		return
 	}
 	x.last = at
-	if len(x.breaks) < maxBreaks && !contains(x.breaks, srv) {
-		x.breaks = append(x.breaks, srv)
+	if contains(x.breaks, srv) {
+		return
 	}
-	if len(x.breaks) >= crashesToRefuse {
-		t.judge(at, key, x)
+	if len(x.breaks) < maxBreaks {
+		x.breaks = append(x.breaks, srv)
 	}
-}
-
-// judge decides on a request that broke off on enough servers. Where many
-// requests did of late, only one that stands out is refused, and others that
-// were refused before that showed are let go.
-func (t *suspects) judge(at time.Duration, key suspectKey, x *suspect) {
-	c := t.count(at)
-	if c.requests < stormRequests {
+	if x.known > 0 && at-o.Latency >= x.known {
 		t.refuse(at, key, x)
-		return
-	}
-	for key, y := range t.byKey {
-		switch {
-		case !y.recent(at):
-		case len(y.breaks) >= stormLead*c.mostBut(y):
-			t.refuse(at, key, y)
-		default:
-			y.refusedUntil = 0
-		}
 	}
 }
 
-// refuse makes the request a suspect that peers are to be told of.
+// refuse makes the request a suspect that peers are to be told of, unless
+// many become suspects at once.
 func (t *suspects) refuse(at time.Duration, key suspectKey, x *suspect) {
-	if x.refusedUntil <= at && !slices.Contains(t.fresh, key) {
+	if x.refusedUntil <= at {
 		t.fresh = append(t.fresh, key)
+		t.refused = append(t.refused, key)
+		x.refusedAt = at
 	}
 	x.refusedUntil = at + suspectFor
-}
-
-// recent reports whether the request broke off on several servers of late.
-func (x *suspect) recent(at time.Duration) bool {
-	return at-x.last <= stormWindow && len(x.breaks) >= crashesToRefuse
-}
-
-// stormCount tells how many requests broke off on several servers of late and
-// on how many servers the worst two did.
-type stormCount struct {
-	requests int
-	most     int
-	second   int
-}
-
-func (t *suspects) count(at time.Duration) stormCount {
-	var c stormCount
-	for _, x := range t.byKey {
-		if !x.recent(at) {
-			continue
-		}
-		c.requests++
-		n := len(x.breaks)
-		if n > c.most {
-			c.most, n = n, c.most
-		}
-		c.second = max(c.second, n)
+	t.refused = slices.DeleteFunc(t.refused, func(k suspectKey) bool {
+		y := t.byKey[k]
+		return y == nil || at-y.refusedAt > stormWindow
+	})
+	if len(t.refused) >= stormRequests {
+		t.calm()
 	}
-	return c
 }
 
-// mostBut returns the most servers of a request other than x.
-func (c stormCount) mostBut(x *suspect) int {
-	if len(x.breaks) == c.most {
-		return c.second
+// calm lets go the suspects found in a storm. It is not their doing, and one
+// that does crash servers is found again when it comes alone.
+func (t *suspects) calm() {
+	for _, key := range t.refused {
+		delete(t.byKey, key)
 	}
-	return c.most
+	t.fresh = slices.DeleteFunc(t.fresh, func(key suspectKey) bool {
+		return t.byKey[key] == nil
+	})
 }
 
 // makeRoom drops records that have lapsed, and the oldest if none has.
@@ -227,7 +217,7 @@
 		if x == nil || x.refusedUntil <= r.last {
 			return true
 		}
-		if r.last-x.last < tellAfter {
+		if r.last-x.refusedAt < tellAfter {
 			return false
 		}
 		out = append(out, Suspicion{
@@ -250,7 +240,7 @@
 	x := r.suspects.byKey[key]
 	if x == nil {
 		r.suspects.makeRoom(at)
-		x = &suspect{}
+		x = new(suspect)
 		r.suspects.byKey[key] = x
 	}
 	x.last = at
