--- a/control/relay.go
+++ b/control/relay.go
@@ -15,8 +15,11 @@
 	watchersPerCentre = 2
 	// fanOut is how many hosts of its data centre follow one host.
 	fanOut = 8
-	// holdFor is how long a peer may hold a follower's question.
-	holdFor = 500 * time.Millisecond
+	// holdFor is how long a peer may hold a follower's question; a newer word
+	// from the platform by relayStep ends that too, so that it passes down the
+	// tree without waiting at each host.
+	holdFor   = 700 * time.Millisecond
+	relayStep = 300 * time.Millisecond
 	// askTimeout is how long an answer may take beyond the hold.
 	askTimeout = 700 * time.Millisecond
 	// leastPause is the least time between two questions to one peer.
@@ -69,6 +72,8 @@
 	ask   Ask
 	since time.Time
 	until time.Time
+	// confirmed is when the platform was last heard when the question came.
+	confirmed time.Time
 }
 
 func newRelay() relay { return relay{asks: make(map[uint64]*asked)} }
@@ -377,7 +382,7 @@
 		until = now
 	}
 	s.askBack(now, in)
-	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until})
+	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until, confirmed: s.confirmed})
 }
 
 // askBack asks the asker when it may hold something that this host lacks.
@@ -400,7 +405,8 @@
 func (s *State) replyDue(now time.Time) {
 	kept := s.relay.held[:0]
 	for _, h := range s.relay.held {
-		if now.Before(h.until) && !s.lacks(&h.ask) {
+		fresher := s.confirmed.Sub(h.confirmed) >= relayStep
+		if now.Before(h.until) && !fresher && !s.lacks(&h.ask) {
 			kept = append(kept, h)
 			continue
 		}
