Caller and operator interfaces under malformed input; settings listed at once

A caller that half-closes its connection got 200 with an empty body; it gets 499 with outcome unknown.

--- a/api/api.go
+++ b/api/api.go
@@ -38,6 +38,9 @@
 	// Draining reports whether the host is leaving. It still answers, and
 	// closes each connection with its answer.
 	Draining func() bool
+	// BodyTimeout is how long a caller may take to send a body; 0 means
+	// DefaultBodyTimeout.
+	BodyTimeout time.Duration
 	// Log gets what is wrong with the host itself.
 	Log *log.Logger
 	// Metrics gets the handler's metrics.
@@ -48,6 +51,9 @@
 
 // NewHandler returns the callers' interface.
 func NewHandler(opts Options) http.Handler {
+	if opts.BodyTimeout == 0 {
+		opts.BodyTimeout = DefaultBodyTimeout
+	}
 	s := &server{opts}
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/services/{service}/query", s.query).Methods(http.MethodPost)
@@ -64,7 +70,7 @@
 func (s *server) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := http.NewResponseController(w)
-		_ = c.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(s.BodyTimeout))
 		_ = c.SetWriteDeadline(time.Time{})
 		if s.Draining() {
 			w.Header().Set("Connection", "close")
--- a/api/decode.go
+++ b/api/decode.go
@@ -26,8 +26,8 @@
 	maxKeyLen       = 256
 	maxTicketLen    = 1024
 	maxWorth        = 1e9
-	// bodyTimeout is how long a caller may take to send a body.
-	bodyTimeout = 5 * time.Second
+	// DefaultBodyTimeout is how long a caller may take to send a body.
+	DefaultBodyTimeout = 5 * time.Second
 	// writeTimeout is how long a caller may take to read an answer.
 	writeTimeout = 10 * time.Second
 )
@@ -114,7 +114,7 @@
 	case errors.As(err, &wrong) && wrong.Field != "":
 		return invalid(wrong.Field, "a "+wrong.Value+" where a "+wrong.Type.String()+" belongs")
 	case isTimeout(err):
-		return withStatus(invalid("body", fmt.Sprintf("not complete within %v", bodyTimeout)), http.StatusRequestTimeout)
+		return withStatus(invalid("body", "not complete in time"), http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return invalid("body", "ends too early")
 	}
--- a/api/respond.go
+++ b/api/respond.go
@@ -33,13 +33,19 @@
 	}
 }
 
-// finish writes an answer or a problem; neither when the caller went away.
+// statusCallerGone is logged and counted; the caller seldom reads it.
+const statusCallerGone = 499
+
+// finish writes an answer or a problem; there is neither when the caller went
+// away.
 func (s *server) finish(w http.ResponseWriter, id string, answer any, ok bool, p *figmast.Problem) {
 	switch {
 	case p != nil:
 		s.refuse(w, id, p)
 	case ok:
 		s.write(w, http.StatusOK, "application/json", answer)
+	default:
+		s.refuse(w, id, &figmast.Problem{Title: "the caller went away", Status: statusCallerGone, Step: "answer", Outcome: figmast.Unknown})
 	}
 }
 
--- /dev/null
+++ b/daemon/host_test.go
@@ -0,0 +1,224 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/daemon"
+	"github.com/figmast/figmast/internal/fake"
+	"github.com/figmast/figmast/internal/fleet"
+	"github.com/figmast/figmast/internal/sample"
+)
+
+// logBuffer collects logs of several goroutines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// startFleet runs hosts of the first sample service until the test ends.
+func startFleet(t *testing.T, hosts int, settings func(*daemon.Settings)) testFleet {
+	t.Helper()
+	is := is.New(t)
+	logs := &logBuffer{}
+	f, err := fleet.Start(context.Background(), fleet.Options{Shape: sample.Shapes()[0], Hosts: hosts, Logs: logs, Settings: settings})
+	is.NoErr(err)
+	t.Cleanup(func() {
+		is.NoErr(f.Stop(context.Background()))
+		http.DefaultClient.CloseIdleConnections()
+	})
+	f.Publish(sample.Published{Version: 1, Snapshot: "monday"})
+	for _, h := range f.Hosts {
+		waitFor(t, func() bool { return queryStatus(t, h) == http.StatusOK })
+	}
+	return testFleet{f, logs}
+}
+
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatal("gave up waiting")
+}
+
+func queryStatus(t *testing.T, h *fleet.Host) int {
+	t.Helper()
+	body := `{"operation":"route-sheet"}`
+	resp, err := http.Post("http://"+h.CallerListen+"/v1/services/route-app-1/query", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+func read(t *testing.T, url string) (int, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(b)
+}
+
+func TestMetricsOfTwoHostsStandApart(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2, nil)
+	for range 5 {
+		is.Equal(queryStatus(t, f.Hosts[0]), http.StatusOK)
+	}
+	_, first := read(t, "http://"+f.Hosts[0].OpsListen+"/metrics")
+	_, second := read(t, "http://"+f.Hosts[1].OpsListen+"/metrics")
+	answered := func(n int) string {
+		return fmt.Sprintf(`figmast_requests_total{service="route-app-1",kind="query",outcome="answered"} %d`, n)
+	}
+	is.True(strings.Contains(first, answered(6))) // one more from startFleet
+	is.True(strings.Contains(second, answered(1)))
+	for _, name := range []string{
+		`figmast_leaf_calls_total{status="ok"}`, "figmast_leaf_call_duration_seconds_bucket", "figmast_request_duration_seconds_bucket",
+		"figmast_view_age_seconds", "figmast_ready 1", "figmast_hosts 2", "figmast_services 1", "go_goroutines", "process_cpu_seconds_total",
+	} {
+		if !strings.Contains(first, name) {
+			t.Errorf("%s is missing", name)
+		}
+	}
+}
+
+func TestOperatorsInterface(t *testing.T) {
+	f := startFleet(t, 1, nil)
+	base := "http://" + f.Hosts[0].OpsListen
+	for _, c := range []struct {
+		path   string
+		status int
+		field  string
+	}{
+		{"/healthz", 200, ""},
+		{"/readyz", 200, ""},
+		{"/v1/status", 200, ""},
+		{"/v1/timeline", 200, ""},
+		{"/v1/timeline?limit=0", 400, "limit"},
+		{"/v1/timeline?limit=many", 400, "limit"},
+		{"/v1/timeline?since=yesterday", 400, "since"},
+		{"/v1/timeline?servce=x", 400, "servce"},
+		{"/v1/timeline?request=" + strings.Repeat("x", 300), 400, "request"},
+		{"/v1/explain/a/b", 200, ""},
+		{"/v2/status", 404, ""},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			is := is.New(t)
+			status, body := read(t, base+c.path)
+			is.Equal(status, c.status)
+			var p figmast.Problem
+			if status/100 == 4 {
+				is.NoErr(json.Unmarshal([]byte(body), &p))
+			}
+			is.Equal(p.Field, c.field)
+		})
+	}
+}
+
+// TestDrainAnswersUntilTheEnd checks that a leaving host is not ready at once,
+// still answers, and finishes a command whose caller has gone away.
+func TestDrainAnswersUntilTheEnd(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 1, func(s *daemon.Settings) { s.DrainWait = 300 * time.Millisecond })
+	h := f.Hosts[0]
+	for _, b := range f.Backends {
+		b.Set(fake.Behaviour{Latency: 600 * time.Millisecond})
+	}
+	var ticket figmast.TicketAnswer
+	postJSON(t, context.Background(), h, "/tickets", struct{}{}, &ticket)
+	gone, leave := context.WithCancel(context.Background())
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		postJSON(t, gone, h, "/command", figmast.CommandRequest{Operation: "book-visit", ShardKey: "k", Ticket: ticket.Ticket}, nil)
+	}()
+	waitFor(t, func() bool { return commands(f) == 1 })
+	leave()
+	<-sent
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- h.Stop(context.Background()) }()
+	waitFor(t, func() bool {
+		status, _ := read(t, "http://"+h.OpsListen+"/readyz")
+		return status == http.StatusServiceUnavailable
+	})
+	is.Equal(queryStatus(t, h), http.StatusOK) // takes longer than the drain's wait
+	is.NoErr(<-stopped)
+	is.True(strings.Contains(f.logs.String(), `"msg":"host stopped"`))
+	for line := range strings.Lines(f.logs.String()) {
+		is.True(json.Valid([]byte(line)))
+	}
+}
+
+func commands(f testFleet) int {
+	n := 0
+	for _, e := range f.Executions("") {
+		if e.Command {
+			n++
+		}
+	}
+	return n
+}
+
+// postJSON sends a body to the sample service, and decodes the answer where
+// one is wanted.
+func postJSON(t *testing.T, ctx context.Context, h *fleet.Host, path string, body, answer any) {
+	t.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		t.Error(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.CallerListen+"/v1/services/route-app-1"+path, bytes.NewReader(b))
+	if err != nil {
+		t.Error(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if answer == nil {
+		return
+	}
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -38,40 +38,70 @@
 
 // Check returns every fault of the settings, joined, or nil.
 func (s Settings) Check() error {
-	var faults []error
-	missing := func(flag, v string) {
-		if v == "" {
-			faults = append(faults, fmt.Errorf("%s: missing", flag))
-		}
-	}
-	address := func(flag, v string) {
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %q is not an IP number and port", flag, v))
-		}
+	var c settingsCheck
+	c.name("--host", s.Host)
+	c.name("--data-centre", s.DataCentre)
+	c.address("--caller-listen", s.CallerListen)
+	c.address("--ops-listen", s.OpsListen)
+	c.address("--peer-listen", s.PeerListen)
+	c.address("--platform", s.Platform)
+	c.reachable("--peer-listen", s.PeerListen)
+	if s.OpsListen == s.CallerListen && s.OpsListen != "" {
+		c.add("--ops-listen: the same as --caller-listen")
 	}
-	positive := func(flag string, d time.Duration) {
-		if d <= 0 {
-			faults = append(faults, fmt.Errorf("%s: %v is not above 0", flag, d))
-		}
-	}
-	missing("--host", s.Host)
-	missing("--data-centre", s.DataCentre)
-	address("--caller-listen", s.CallerListen)
-	address("--ops-listen", s.OpsListen)
-	address("--peer-listen", s.PeerListen)
-	address("--platform", s.Platform)
 	if s.DrainWait < 0 {
-		faults = append(faults, fmt.Errorf("--drain-wait: %v is below 0", s.DrainWait))
+		c.add("--drain-wait: %v is below 0", s.DrainWait)
 	}
-	positive("--drain-limit", s.DrainLimit)
-	positive("--ticket-lifetime", s.TicketLife)
+	c.positive("--drain-limit", s.DrainLimit)
+	c.positive("--ticket-lifetime", s.TicketLife)
 	if _, err := parseLevel(s.LogLevel); err != nil {
-		faults = append(faults, err)
+		c.faults = append(c.faults, err)
 	}
 	if _, err := s.credentials().Load(); err != nil {
-		faults = append(faults, err)
+		c.faults = append(c.faults, err)
+	}
+	return errors.Join(c.faults...)
+}
+
+// settingsCheck collects faults.
+type settingsCheck struct{ faults []error }
+
+func (c *settingsCheck) add(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Errorf(format, args...))
+}
+
+// name refuses what cannot stand in headers and metrics.
+func (c *settingsCheck) name(flag, v string) {
+	if v == "" {
+		c.add("%s: missing", flag)
+		return
+	}
+	for _, r := range v {
+		if r <= ' ' || r > '~' || r == '"' || r == '\\' {
+			c.add("%s: %q is not printable ASCII without spaces and quotes", flag, v)
+			return
+		}
+	}
+}
+
+func (c *settingsCheck) address(flag, v string) {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		c.add("%s: %q is not an IP number and port", flag, v)
+	}
+}
+
+// reachable refuses an address that peers cannot be told.
+func (c *settingsCheck) reachable(flag, v string) {
+	a, err := netip.ParseAddrPort(v)
+	if err == nil && (a.Addr().IsUnspecified() || a.Port() == 0) {
+		c.add("%s: peers need the IP number and port themselves, not %s", flag, v)
+	}
+}
+
+func (c *settingsCheck) positive(flag string, d time.Duration) {
+	if d <= 0 {
+		c.add("%s: %v is not above 0", flag, d)
 	}
-	return errors.Join(faults...)
 }
 
 func (s Settings) credentials() peer.Source {
