--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/certs"
 	"github.com/figmast/figmast/internal/fake"
+	localfleet "github.com/figmast/figmast/internal/fleet"
 	"github.com/figmast/figmast/platform"
 )
 
@@ -93,12 +94,11 @@
 // free returns an unused IP number and port on loopback.
 func free(t *testing.T, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
+	address, err := localfleet.FreeAddress(ip)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func newFleet(t *testing.T) *fleet {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,8 +8,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/fx"
@@ -150,7 +152,7 @@
 		DrainWait: 50 * time.Millisecond, DrainLimit: 10 * time.Second, TicketLife: 10 * time.Minute, LogLevel: "info",
 	}
 	for _, address := range []*string{&s.CallerListen, &s.OpsListen, &s.PeerListen} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = FreeAddress(loopback); err != nil {
 			return s, err
 		}
 	}
@@ -160,14 +162,26 @@
 	return s, s.Check()
 }
 
-// freeAddress returns an IP number and port that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+// Ports that FreeAddress chooses from: the system gives none of them to
+// outgoing connections, which could take one before it is listened on.
+const (
+	firstPort = 10_240
+	portCount = 32_768 - firstPort
+	portTries = 100
+)
+
+// FreeAddress returns that IP number with a port that nothing listens on.
+func FreeAddress(ip string) (string, error) {
+	var failed error
+	for range portTries {
+		address := net.JoinHostPort(ip, strconv.Itoa(firstPort+rand.IntN(portCount)))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		failed = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", failed
 }
 
 // Publish publishes the service's document.
