--- a/api/api.go
+++ b/api/api.go
@@ -23,7 +23,7 @@
 type Backend interface {
 	Query(ctx context.Context, r query.Request) (*figmast.QueryAnswer, *figmast.Problem)
 	Command(ctx context.Context, r command.Request) (*figmast.CommandAnswer, *figmast.Problem)
-	Mint(service string) command.Ticket
+	Mint(service string) (command.Ticket, *figmast.Problem)
 }
 
 // Options configure the handler.
@@ -134,12 +134,12 @@
 		c, p = s.prepare(r, arrived, body.Operation, document.Command)
 	}
 	if p != nil {
-		s.refuse(w, id, p)
+		s.refuse(w, id, unhandled(body, p))
 		return
 	}
 	ans, p := s.Backend.Command(r.Context(), command.Request{
 		ID: id, Service: c.doc.Name, Operation: body.Operation, Payload: body.Payload,
-		ShardKey: body.ShardKey, Ticket: body.Ticket, Key: body.Key,
+		ShardKey: body.ShardKey, Ticket: body.Ticket,
 		Urgency: orUrgency(body.Urgency, c.op), Worth: orWorth(body.Worth, c.op), Deadline: c.deadline,
 	})
 	s.finish(w, id, ans, ans != nil, p)
@@ -156,8 +156,25 @@
 		s.refuse(w, id, p)
 		return
 	}
-	t := s.Backend.Mint(name)
-	s.write(w, http.StatusOK, "application/json", figmast.TicketAnswer{Ticket: t.String(), Expires: t.Expires()})
+	t, p := s.Backend.Mint(name)
+	if p != nil {
+		s.refuse(w, id, p)
+		return
+	}
+	left := time.Until(t.Expires())
+	s.write(w, http.StatusOK, "application/json", figmast.TicketAnswer{
+		Ticket: t.String(), Expires: t.Expires(), LifetimeMs: left.Milliseconds(),
+	})
+}
+
+// unhandled makes a refusal of a command true of all sendings of its ticket:
+// this host cannot know what became of the others.
+func unhandled(c figmast.CommandRequest, p *figmast.Problem) *figmast.Problem {
+	if c.Ticket != "" {
+		p.Outcome = figmast.Unknown
+		p.Unhandled = true
+	}
+	return p
 }
 
 // service returns the document in force, or why no request is taken.
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -39,8 +39,8 @@
 	return &figmast.CommandAnswer{RequestID: r.ID, Outcome: figmast.Ran}, nil
 }
 
-func (b *backend) Mint(service string) command.Ticket {
-	return command.Ticket{Host: "h", Service: service}
+func (b *backend) Mint(service string) (command.Ticket, *figmast.Problem) {
+	return command.Ticket{Host: "h", Service: service}, nil
 }
 
 var started = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -134,6 +134,15 @@
 	{"long ticket", "POST", commandPath, nil, `{"operation":"book","shard_key":"k","ticket":"` + strings.Repeat("t", 1025) + `"}`, 400, "ticket"},
 }
 
+// outcomeOf a refused request: one with a ticket may have been sent before, and
+// this host cannot know what became of that sending.
+func outcomeOf(body string) figmast.Outcome {
+	if strings.Contains(body, `"ticket":`) {
+		return figmast.Unknown
+	}
+	return figmast.NotRun
+}
+
 func TestRefusals(t *testing.T) {
 	h := newHandler(&backend{}, false)
 	for _, c := range refusals {
@@ -146,7 +155,7 @@
 			is.NoErr(json.Unmarshal(w.Body.Bytes(), &p))
 			is.Equal(p.Field, c.field)
 			is.Equal(p.Status, c.status)
-			is.Equal(p.Outcome, figmast.NotRun)
+			is.Equal(p.Outcome, outcomeOf(c.body))
 			is.True(p.RequestID != "" && p.Peer == "h" && p.Title != "" && p.Step != "")
 			is.True(w.Body.Len() < 1000) // a refusal repeats little of the input
 		})
--- a/api/decode.go
+++ b/api/decode.go
@@ -192,14 +192,12 @@
 		return invalid("shard_key", "missing")
 	case len(c.ShardKey) > maxKeyLen:
 		return invalid("shard_key", fmt.Sprintf("longer than %d bytes", maxKeyLen))
-	case len(c.Key) > maxKeyLen:
-		return invalid("key", fmt.Sprintf("longer than %d bytes", maxKeyLen))
+	case c.Key != "":
+		return invalid("key", "a key without a ticket cannot be run at most once; take a ticket")
+	case c.Ticket == "":
+		return invalid("ticket", "missing")
 	case len(c.Ticket) > maxTicketLen:
 		return invalid("ticket", fmt.Sprintf("longer than %d bytes", maxTicketLen))
-	case c.Ticket == "" && c.Key == "":
-		return invalid("ticket", "missing")
-	case c.Ticket != "" && c.Key != "":
-		return invalid("key", "stands beside a ticket")
 	}
 	return checkValues(c.Urgency, c.Worth)
 }
--- a/backend/conns.go
+++ b/backend/conns.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/policy"
@@ -14,33 +15,39 @@
 
 // conns are this host's connections to one backend server.
 type conns struct {
+	// ctx ends when the pool closes.
+	ctx       context.Context
 	address   string
 	transport *http.Transport
+	places    *places
 
-	mu sync.Mutex
-	// limit is this host's share of the server's connections.
-	limit int
-	// opening counts connections that are being opened.
-	opening int
-	open    []*http.ClientConn
-	closed  bool
+	mu   sync.Mutex
+	open []*http.ClientConn
 }
 
-func newConns(address string, protocol document.Protocol) *conns {
+func newConns(ctx context.Context, address string, protocol document.Protocol) *conns {
 	p := new(http.Protocols)
 	p.SetHTTP1(protocol == document.HTTP1)
 	p.SetUnencryptedHTTP2(protocol == document.HTTP2)
-	t := &http.Transport{Protocols: p, DisableCompression: true}
-	return &conns{address: address, transport: t}
+	c := &conns{ctx: ctx, address: address, places: newPlaces()}
+	c.transport = &http.Transport{Protocols: p, DisableCompression: true, DialContext: c.places.dial}
+	return c
 }
 
-// setLimit changes the share; idle connections above it are closed.
+// setLimit changes the share. Connections above it are closed once their
+// calls have ended; 0 retires the server.
 func (c *conns) setLimit(n int) {
+	c.places.setLimit(n)
+	c.trim()
+}
+
+// trim closes idle connections above the share.
+func (c *conns) trim() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit = n
+	c.prune()
 	kept := c.open[:0]
-	excess := len(c.open) - n
+	excess := len(c.open) - c.places.share()
 	for _, cc := range c.open {
 		if excess > 0 && cc.InFlight() == 0 {
 			excess--
@@ -49,64 +56,105 @@
 		}
 		kept = append(kept, cc)
 	}
+	clear(c.open[len(kept):])
 	c.open = kept
 }
 
+// changed is called when a connection may have room again. It must not take
+// mu, as net/http may call it from within calls made under mu.
+func (c *conns) changed(*http.ClientConn) {
+	c.places.freed.send()
+	if c.places.over() {
+		go c.trim()
+	}
+}
+
+// openTimeout bounds how long a connection takes to open.
+const openTimeout = time.Second
+
+// freeWait bounds how long a call waits for a connection whose last call has
+// just ended: the decisions count a call as over a moment before net/http
+// hands its connection back.
+const freeWait = 50 * time.Millisecond
+
 // get returns a connection with room for one call, reserved.
 func (c *conns) get(ctx context.Context) (*http.ClientConn, error) {
-	c.mu.Lock()
-	c.prune()
-	for _, cc := range c.open {
-		if cc.Available() > 0 && cc.Reserve() == nil {
-			c.mu.Unlock()
+	limit := time.NewTimer(freeWait)
+	defer limit.Stop()
+	for {
+		freed := c.places.freed.wait()
+		if cc := c.reserve(); cc != nil {
 			return cc, nil
 		}
+		err := c.openFor(ctx)
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, errNoConnection) {
+			return nil, err
+		}
+		select {
+		case <-freed:
+		case <-limit.C:
+			return nil, errNoConnection
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// openFor opens a connection and waits for it. When ctx ends first, the
+// connection is opened all the same and serves later calls: the backend
+// server may have taken it already, and giving it up would free its place too
+// early.
+func (c *conns) openFor(ctx context.Context) error {
+	if c.places.full() {
+		return errNoConnection
 	}
-	if c.closed || len(c.open)+c.opening >= c.limit {
-		c.mu.Unlock()
-		return nil, errNoConnection
+	opened := make(chan error, 1)
+	go func() { opened <- c.openOne() }()
+	select {
+	case err := <-opened:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	c.opening++
-	c.mu.Unlock()
-	return c.dial(ctx, true)
 }
 
-// dial opens a connection that opening already counts.
-func (c *conns) dial(ctx context.Context, reserve bool) (*http.ClientConn, error) {
-	cc, err := c.transport.NewClientConn(ctx, "http", c.address)
+// reserve returns a connection with room, or nil.
+func (c *conns) reserve() *http.ClientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.opening--
-	if err != nil {
-		return nil, err
-	}
-	if c.closed {
-		_ = cc.Close()
-		return nil, errNoConnection
-	}
-	if reserve {
-		if err := cc.Reserve(); err != nil {
-			_ = cc.Close()
-			return nil, err
+	c.prune()
+	for _, cc := range c.open {
+		if cc.Available() > 0 && cc.Reserve() == nil {
+			return cc
 		}
 	}
-	c.open = append(c.open, cc)
-	return cc, nil
+	return nil
 }
 
-// fill opens one connection if the share leaves room, and reports whether
-// there may be room for more.
-func (c *conns) fill(ctx context.Context) bool {
+// openOne opens one connection. The error is errNoConnection when the share is
+// used up.
+func (c *conns) openOne() error {
+	if c.places.full() {
+		return errNoConnection
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, openTimeout)
+	defer cancel()
+	cc, err := c.transport.NewClientConn(ctx, "http", c.address)
+	if err != nil {
+		return err
+	}
 	c.mu.Lock()
-	c.prune()
-	if c.closed || len(c.open)+c.opening >= c.limit {
-		c.mu.Unlock()
-		return false
+	defer c.mu.Unlock()
+	if c.places.share() == 0 {
+		_ = cc.Close()
+		return errNoConnection
 	}
-	c.opening++
-	c.mu.Unlock()
-	_, err := c.dial(ctx, false)
-	return err == nil
+	c.open = append(c.open, cc)
+	cc.SetStateHook(c.changed)
+	return nil
 }
 
 // prune drops connections that have failed. The caller holds mu.
@@ -121,16 +169,22 @@
 	c.open = kept
 }
 
+// close closes every connection; drain waits for the last.
 func (c *conns) close() {
+	c.places.setLimit(0)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.closed = true
 	for _, cc := range c.open {
 		_ = cc.Close()
 	}
 	c.open = nil
 }
 
+// unused reports whether the server is retired and its last connection gone.
+func (c *conns) unused() bool { return c.places.share() == 0 && !c.places.taken() }
+
+func (c *conns) drain() { c.places.drain() }
+
 // connsKey tells when two shares are of the same backend server.
 type connsKey struct {
 	address  string
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -15,10 +15,12 @@
 	h.draining.Store(true)
 	h.control.events.Add(timeline.Event{Kind: timeline.HostState, Detail: "draining"})
 	h.log.Info("draining", "wait", h.settings.DrainWait, "limit", h.settings.DrainLimit)
-	h.leave(ctx)
+	h.control.leave()
 	pause(ctx, h.settings.DrainWait)
-	err := h.finishRequests(ctx)
-	h.runner.Stop()
+	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
+	defer cancel()
+	err := h.finishRequests(limited)
+	h.runner.Stop(limited)
 	h.control.stop()
 	h.pool.Close()
 	h.client.Close()
@@ -31,18 +33,15 @@
 	return nil
 }
 
-// leave tells the peers that this host takes no new work of theirs.
-func (h *Host) leave(context.Context) {}
-
 // finishRequests waits for the requests of callers, and then for those of
 // peers and for commands whose callers went away.
 func (h *Host) finishRequests(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, h.settings.DrainLimit)
-	defer cancel()
-	if err := h.callers.Shutdown(limited); err != nil {
+	if err := h.callers.Shutdown(ctx); err != nil {
 		return fmt.Errorf("requests of callers were cut: %w", err)
 	}
-	if err := h.runner.Drain(limited); err != nil {
+	held, err := h.runner.Drain(ctx)
+	h.log.Info("outcomes of commands forgotten", "claims", held.Claims, "unused_tickets", held.Tickets-held.Claims, "running", held.Running)
+	if err != nil {
 		return fmt.Errorf("requests of peers or commands were cut: %w", err)
 	}
 	return nil
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -23,11 +23,13 @@
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/peer"
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/platform/client"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/query"
+	"github.com/figmast/figmast/relay"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
+	"github.com/figmast/figmast/view"
 )
 
 // timelineSize is how many events of requests a host keeps.
@@ -41,7 +43,7 @@
 	runner   *traffic.Runner
 	pool     *backend.Pool
 	peers    *peers
-	client   *platform.Client
+	client   *client.Client
 	callers  *http.Server
 	ops      *http.Server
 	draining atomic.Bool
@@ -79,17 +81,19 @@
 	next := func() leafcall.ID { last++; return last }
 	h.pool = backend.NewPool(backend.Options{Clock: clock.Now, Preopen: true})
 	h.peers = &peers{}
+	h.peers.carrier = relay.New(relay.Options{Direct: h.pool, Peers: h.peers, Clock: clock.Now, View: h.view})
 	h.runner = traffic.NewRunner(traffic.Options{
 		Router:  router,
 		Queries: query.NewEngine(query.Options{Router: router, NextCall: next}),
 		Commands: command.NewEngine(command.Options{
-			Router: router, NextCall: next, Key: key, Incarnation: uuid.NewString(), Lifetime: s.TicketLife,
+			Router: router, NextCall: next, Host: s.Host, Key: key, Incarnation: uuid.NewString(), Lifetime: s.TicketLife,
 		}),
-		Carrier: h.pool, Forwarder: h.peers, Clock: clock.Now, Recorder: rec,
+		Carrier: h.peers.carrier, Forwarder: h.peers, Clock: clock.Now, Recorder: rec,
 	})
 	h.peers.runner = h.runner
-	h.client = platform.NewClient(s.Platform)
-	h.control = newController(s, h.client, h.runner, logger, events)
+	h.client = client.New(s.Platform)
+	h.control = newController(s, h.client, h.peers, h.runner, logger, events)
+	h.peers.control, h.peers.events = h.control, events
 	h.callers = h.newServer(api.NewHandler(api.Options{
 		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now,
 		Draining: h.draining.Load, Log: logger, Metrics: set,
@@ -115,6 +119,9 @@
 	}
 }
 
+// view returns the view in force, or nil.
+func (h *Host) view() *view.View { return h.control.View() }
+
 // Start opens the listeners and begins to follow the platform. On an error
 // nothing is left open.
 func (h *Host) Start(context.Context) error {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +22,6 @@
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/certs"
 	"github.com/figmast/figmast/internal/fake"
-	localfleet "github.com/figmast/figmast/internal/fleet"
 	"github.com/figmast/figmast/platform"
 )
 
@@ -56,7 +57,7 @@
 	log bytes.Buffer
 }
 
-func start(t *testing.T, env []string, name string, args ...string) *process {
+func start(t testing.TB, env []string, name string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...)}
 	p.cmd.Env = append(os.Environ(), env...)
@@ -85,23 +86,38 @@
 
 // fleet is a running set of processes.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	authority *certs.Authority
 	platform  string
 	hosts     []*host
 }
 
-// free returns an unused IP number and port on loopback.
-func free(t *testing.T, ip string) string {
+// Ports handed out to processes: below those that the system gives to
+// outgoing connections, from a place of its own for each test process.
+const (
+	firstPort = 20_000
+	ports     = 12_000
+)
+
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(rand.Int64N(ports)) }
+
+// free returns an unused IP number and port on loopback, never one twice.
+func free(t testing.TB, ip string) string {
 	t.Helper()
-	address, err := localfleet.FreeAddress(ip)
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		address := fmt.Sprintf("%s:%d", ip, firstPort+nextPort.Add(1)%ports)
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	return address
+	t.Fatal("no free port")
+	return ""
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	is := is.New(t)
 	authority, err := certs.NewAuthority()
@@ -173,7 +189,7 @@
 }
 
 // waitFor polls until the condition holds.
-func waitFor(t *testing.T, what string, holds func() bool) {
+func waitFor(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if holds() {
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	figmast "github.com/figmast/figmast"
@@ -50,14 +51,21 @@
 	mu       sync.Mutex
 	queries  map[query.RunID]chan query.Finish
 	commands map[command.RunID]chan command.Finish
-	cancels  map[leafcall.ID]context.CancelFunc
-	closed   bool
+	calls    map[leafcall.ID]call
+
+	view atomic.Pointer[view.View]
 
 	wake    chan struct{}
 	stop    chan struct{}
 	working sync.WaitGroup
 }
 
+// call is a leaf call in progress.
+type call struct {
+	cancel  context.CancelFunc
+	command bool
+}
+
 // NewRunner returns a Runner; Run must be called for timers to fire.
 func NewRunner(opts Options) *Runner {
 	if opts.Recorder == nil {
@@ -67,7 +75,7 @@
 		opts:     opts,
 		queries:  make(map[query.RunID]chan query.Finish),
 		commands: make(map[command.RunID]chan command.Finish),
-		cancels:  make(map[leafcall.ID]context.CancelFunc),
+		calls:    make(map[leafcall.ID]call),
 		wake:     make(chan struct{}, 1),
 		stop:     make(chan struct{}),
 	}
@@ -78,6 +86,7 @@
 	r.mu.Lock()
 	r.opts.Router.Apply(r.opts.Clock(), v)
 	shares := r.opts.Router.Shares()
+	r.view.Store(v)
 	r.mu.Unlock()
 	r.opts.Carrier.Apply(shares)
 }
@@ -146,6 +155,7 @@
 	began := r.opts.Clock()
 	done := make(chan command.Finish, 1)
 	r.startCommand(req, done)
+	r.nudge()
 	var f command.Finish
 	select {
 	case f = <-done:
@@ -163,11 +173,40 @@
 	r.runCommand(acts)
 }
 
-// Mint returns a ticket for one command of the service.
-func (r *Runner) Mint(service string) command.Ticket {
+// Mint returns a ticket for one command of the service, or why there is none.
+func (r *Runner) Mint(service string) (command.Ticket, *figmast.Problem) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.opts.Commands.Mint(r.opts.Clock(), service)
+	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 5 * time.Millisecond
+
+// Drain takes no more commands and waits until no caller waits and no command
+// runs, or until ctx is done; then it returns the cause. It tells what the
+// command engine then holds, which is forgotten when the process ends. Calls
+// of queries that have been answered may still be ending.
+func (r *Runner) Drain(ctx context.Context) (command.Stats, error) {
+	for {
+		held, idle := r.settled()
+		if idle {
+			return held, nil
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return held, context.Cause(ctx)
+		}
+	}
+}
+
+func (r *Runner) settled() (held command.Stats, idle bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Commands.Close()
+	held = r.opts.Commands.Stats()
+	return held, len(r.queries) == 0 && len(r.commands) == 0 && held.Running+held.Waiting == 0
 }
 
 // Run fires timers until Stop.
@@ -193,11 +232,15 @@
 func (r *Runner) untilNext() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next, ok := r.opts.Queries.Next()
-	if !ok {
-		return idleTick
+	wait := idleTick
+	now := r.opts.Clock()
+	if next, ok := r.opts.Queries.Next(); ok {
+		wait = min(wait, next.Sub(now))
 	}
-	return min(max(next.Sub(r.opts.Clock()), 0), idleTick)
+	if next, ok := r.opts.Commands.Next(); ok {
+		wait = min(wait, next.Sub(now))
+	}
+	return max(wait, 0)
 }
 
 func (r *Runner) tick() {
@@ -215,40 +258,24 @@
 	}
 }
 
-// Drain waits until no request is in progress, or until ctx is done; then it
-// returns the cause.
-func (r *Runner) Drain(ctx context.Context) error {
-	for !r.idle() {
-		select {
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		case <-time.After(drainPoll):
-		}
-	}
-	return nil
+// Stop ends Run and gives up queries' calls. It waits for commands to end
+// until ctx is done, then gives up the rest, and returns when nothing is left.
+func (r *Runner) Stop(ctx context.Context) {
+	close(r.stop)
+	r.giveUp(func(c call) bool { return !c.command })
+	over := context.AfterFunc(ctx, func() { r.giveUp(func(call) bool { return true }) })
+	defer over()
+	r.working.Wait()
 }
 
-// drainPoll is how often Drain looks.
-const drainPoll = 5 * time.Millisecond
-
-// idle reports whether no caller waits and no command runs. Calls of queries
-// that have been answered may still be ending.
-func (r *Runner) idle() bool {
+func (r *Runner) giveUp(which func(call) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.queries) == 0 && len(r.commands) == 0
-}
-
-// Stop ends Run, gives up queries' calls and waits for all calls to end.
-func (r *Runner) Stop() {
-	close(r.stop)
-	r.mu.Lock()
-	r.closed = true
-	for _, cancel := range r.cancels {
-		cancel()
+	for _, c := range r.calls {
+		if which(c) {
+			c.cancel()
+		}
 	}
-	r.mu.Unlock()
-	r.working.Wait()
 }
 
 // runQuery carries out a query's actions. The caller holds mu.
@@ -258,8 +285,8 @@
 		r.send(s)
 	}
 	for _, c := range a.Cancel {
-		if cancel := r.cancels[c.ID]; cancel != nil {
-			cancel()
+		if running, ok := r.calls[c.ID]; ok {
+			running.cancel()
 		}
 	}
 	for _, f := range a.Finish {
@@ -291,7 +318,7 @@
 
 func (r *Runner) send(s leafcall.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
-	r.cancels[s.ID] = cancel
+	r.calls[s.ID] = call{cancel: cancel, command: s.Command}
 	s.Guard = r.guard(s.Guard)
 	r.working.Add(1)
 	go func() {
@@ -307,19 +334,14 @@
 // guard adds the check that the view in force may still be acted on.
 func (r *Runner) guard(also func(time.Time) bool) func(time.Time) bool {
 	return func(now time.Time) bool {
-		if also != nil && !also(now) {
-			return false
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.opts.Router.View().Valid(now)
+		return r.view.Load().Valid(now) && (also == nil || also(now))
 	}
 }
 
 func (r *Runner) reply(s leafcall.Send, res leafcall.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.cancels, s.ID)
+	delete(r.calls, s.ID)
 	now := r.opts.Clock()
 	if s.Command {
 		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
