Shares after a view that lapsed, cheaper ranks

A host whose view lapsed waits for its shares like a newcomer, also when the view is only renewed, unless the view shows that it stayed listed.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -55,10 +55,10 @@
 // Pick returns the backend server for a leaf call, or nil and why. The caller
 // follows with Begin when it sends the call.
 func (r *Router) Pick(now time.Time, p Pick) (*Server, Reason) {
+	at := r.at(now)
 	if !r.view.Valid(now) {
 		return nil, StaleView
 	}
-	at := r.at(now)
 	s := r.services[p.Service]
 	if s == nil {
 		return nil, NoSuchServer
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,8 @@
 type member struct {
 	host view.Host
 	hash uint64
+	// centre is the hash of the host's data centre.
+	centre uint64
 	// first is when this host first saw the member listed.
 	first  time.Duration
 	listed bool
@@ -37,14 +40,15 @@
 type fleet struct {
 	lag     time.Duration
 	self    *member
-	members map[string]*member
+	members []*member
+	byID    map[string]*member
 	// began is when the first view came: members of it are taken as old.
 	began time.Duration
 	round uint64
 }
 
 func newFleet(lag time.Duration) *fleet {
-	return &fleet{lag: lag, members: make(map[string]*member)}
+	return &fleet{lag: lag, byID: make(map[string]*member)}
 }
 
 func (f *fleet) joinWait() time.Duration { return joinLags * f.lag }
@@ -64,35 +68,39 @@
 		if h.ID == v.Self.ID && v.Unlisted {
 			continue
 		}
-		m := f.members[h.ID]
+		m := f.byID[h.ID]
 		if m == nil {
 			m = &member{hash: xxhash.Sum64String(h.ID), first: at}
-			f.members[h.ID] = m
+			f.byID[h.ID] = m
+			f.members = append(f.members, m)
 			came = append(came, m)
 		}
 		if !m.listed {
 			m.first = at
 		}
 		m.host, m.listed, m.round = h, true, f.round
+		m.centre = xxhash.Sum64String(h.DataCentre)
 	}
 	for _, m := range f.members {
 		if m.listed && m.round != f.round {
 			m.listed, m.gone = false, at
 		}
 	}
-	f.self = f.members[v.Self.ID]
+	f.self = f.byID[v.Self.ID]
 	return came, f.forget(at)
 }
 
 // forget drops members that have not been listed for long.
 func (f *fleet) forget(at time.Duration) []*member {
 	var went []*member
-	for id, m := range f.members {
-		if !m.listed && at-m.gone >= f.memory() {
-			delete(f.members, id)
-			went = append(went, m)
+	f.members = slices.DeleteFunc(f.members, func(m *member) bool {
+		if m.listed || at-m.gone < f.memory() {
+			return false
 		}
-	}
+		delete(f.byID, m.host.ID)
+		went = append(went, m)
+		return true
+	})
 	return went
 }
 
@@ -148,8 +156,7 @@
 // then by rendezvous hash. The order of two hosts depends on nothing else, so
 // all hosts agree on it, whatever views they hold.
 func precedes(a, b *member, srv *Server) bool {
-	aNear := a.host.DataCentre == srv.DataCentre
-	bNear := b.host.DataCentre == srv.DataCentre
+	aNear, bNear := a.centre == srv.centre, b.centre == srv.centre
 	if aNear != bNear {
 		return aNear
 	}
--- a/policy/router.go
+++ b/policy/router.go
@@ -118,19 +118,13 @@
 	old := r.view
 	r.view = v
 	r.applyHosts(at, v)
-	if old != nil && !old.Valid(now) && !sameListing(old, v) {
-		r.fleet.rejoin(at)
+	if old != nil && !old.Valid(now) {
+		r.returned(old)
 	}
 	r.applyServices(at, v)
 	r.share(at, v.Valid(now))
 }
 
-// sameListing reports whether this host is known to have stayed on the host
-// list from one view to the next.
-func sameListing(old, v *view.View) bool {
-	return old.ListedRevision != 0 && old.ListedRevision == v.ListedRevision
-}
-
 func (r *Router) applyHosts(at time.Duration, v *view.View) {
 	self := r.fleet.self
 	came, went := r.fleet.update(at, v)
--- a/policy/server.go
+++ b/policy/server.go
@@ -19,6 +19,8 @@
 
 	leaf *leaf
 	hash uint64
+	// centre is the hash of the server's data centre.
+	centre uint64
 	// leaving and out servers get no new work.
 	leaving bool
 	out     bool
@@ -38,7 +40,7 @@
 	return &Server{
 		Service: l.service.name, Leaf: l.name, ID: d.ID, Address: d.Address, DataCentre: d.DataCentre,
 		leaf: l,
-		hash: xxhash.Sum64String(d.ID + "\x00" + d.Address),
+		hash: xxhash.Sum64String(d.ID + "\x00" + d.Address), centre: xxhash.Sum64String(d.DataCentre),
 	}
 }
 
--- a/policy/shares_test.go
+++ b/policy/shares_test.go
@@ -392,6 +392,32 @@
 	is.Equal(r.Shares()[0].Connections, 10)
 	is.True(r.Advance(epoch.Add(10 * time.Second)))
 	is.Equal(len(r.Shares()), 0)
-	_, reason := r.Pick(epoch.Add(10*time.Second), Pick{Service: "svc", Leaf: "leaf0"})
+	back := epoch.Add(10 * time.Second)
+	_, reason := r.Pick(back, Pick{Service: "svc", Leaf: "leaf0"})
 	is.Equal(reason, StaleView)
+
+	// Others may have taken this host off the list and given its share away.
+	renewed := *v
+	renewed.ValidUntil = back.Add(time.Hour)
+	r.Renew(&renewed)
+	r.Advance(back)
+	is.Equal(len(r.Shares()), 0)
+	is.True(r.Advance(back.Add(2 * time.Second)))
+	is.Equal(len(r.Shares()), 1)
+}
+
+func TestAHostThatStayedListedKeepsItsShare(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(1, Options{ShareLag: time.Second})
+	h := hostList(1, 1)
+	v := viewOf(h[0], h, shape{servers: 1, connections: 10}.doc())
+	v.ListedRevision = 7
+	v.ValidUntil = epoch.Add(10 * time.Second)
+	r.Apply(epoch, v)
+	r.Advance(epoch.Add(10 * time.Second))
+	renewed := *v
+	renewed.ValidUntil = epoch.Add(time.Hour)
+	r.Renew(&renewed)
+	is.True(r.Advance(epoch.Add(11 * time.Second)))
+	is.Equal(r.Shares()[0].Connections, 10)
 }
