--- a/cmd/figmast/try.go
+++ b/cmd/figmast/try.go
@@ -14,6 +14,7 @@
 	"github.com/figmast/figmast/daemon"
 	"github.com/figmast/figmast/internal/fleet"
 	"github.com/figmast/figmast/internal/sample"
+	"github.com/figmast/figmast/timeline"
 )
 
 // Sizes and bounds of the trial.
@@ -41,6 +42,8 @@
 	shape sample.Shape
 	fleet *fleet.Fleet
 	steps []step
+	// lastQuery is the request id of the last query.
+	lastQuery string
 }
 
 func (*tryArgs) run(ctx context.Context, out *printer) error {
@@ -70,6 +73,7 @@
 	}{
 		{"publish", t.publish},
 		{"query", t.query},
+		{"explain", t.explain},
 		{"command", t.book},
 		{"data centre out", t.takeOut},
 		{"query", t.query},
@@ -91,8 +95,15 @@
 		return fmt.Errorf("%s: %w", name, err)
 	}
 	t.steps = append(t.steps, step{Step: name, TookMs: took, Detail: detail, Answer: answer})
-	if !t.out.json {
-		t.out.printf("%-18s %5d ms  %s", name, took, detail)
+	if t.out.json {
+		return nil
+	}
+	t.out.printf("%-18s %5d ms  %s", name, took, detail)
+	if events, ok := answer.([]timeline.Event); ok {
+		for _, e := range events {
+			e.Request, e.Service = "", ""
+			t.out.printf("%30s %-16s %s", "", e.Kind, about(e))
+		}
 	}
 	return nil
 }
@@ -157,7 +168,8 @@
 func (t *trial) query(ctx context.Context) (string, any, error) {
 	before := t.servedBy()
 	var ans figmast.QueryAnswer
-	err := post(ctx, t.url(0, "/query"), uuid.NewString(), figmast.QueryRequest{Operation: "route-sheet"}, &ans)
+	t.lastQuery = uuid.NewString()
+	err := post(ctx, t.url(0, "/query"), t.lastQuery, figmast.QueryRequest{Operation: "route-sheet"}, &ans)
 	if err != nil {
 		return "", nil, err
 	}
@@ -183,6 +195,13 @@
 	return text
 }
 
+// explain asks the host what it decided on the last query.
+func (t *trial) explain(ctx context.Context) (string, any, error) {
+	var events []timeline.Event
+	err := get(ctx, "http://"+t.fleet.Hosts[0].OpsListen+"/v1/explain/"+t.lastQuery, &events)
+	return "what the host decided on that query:", events, err
+}
+
 // book sends one booking through two hosts, as a caller does that got no
 // answer the first time.
 func (t *trial) book(ctx context.Context) (string, any, error) {
--- a/cmd/figmast/try_test.go
+++ b/cmd/figmast/try_test.go
@@ -15,6 +15,6 @@
 	is.NoErr((&tryArgs{}).run(context.Background(), &printer{w: &out, json: true}))
 	var steps []step
 	is.NoErr(json.Unmarshal(out.Bytes(), &steps))
-	is.Equal(len(steps), 8)
+	is.Equal(len(steps), 9)
 	is.Equal(steps[len(steps)-1].Step, "stop")
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -194,13 +194,12 @@
 }
 
 func (c *controller) record(v control.Verdict) {
+	c.events.Add(configEvent(v))
 	if v.Err != nil {
 		c.log.Error("configuration refused", "key", v.Key, "revision", v.Revision, "err", v.Err)
-		c.events.Add(timeline.Event{Kind: timeline.ConfigRefused, Service: v.Key, Detail: v.Err.Error()})
 		return
 	}
 	c.log.Info("configuration in force", "key", v.Key, "revision", v.Revision)
-	c.events.Add(timeline.Event{Kind: timeline.ConfigAccepted, Service: v.Key})
 }
 
 // notePlatform logs when the platform falls silent and when it is heard again.
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -76,6 +76,7 @@
 	set := metrics.NewSet()
 	events := timeline.NewRing(s.Host, timelineSize, time.Now)
 	rec := newRecorder(set, events, logger)
+	rec.view = h.view
 	router := policy.NewRouter(policy.Options{Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))})
 	var last leafcall.ID
 	next := func() leafcall.ID { last++; return last }
@@ -100,6 +101,8 @@
 	}))
 	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, cold: &rec.cold}
 	o.gauges()
+	set.NewGauge("figmast_backend_connections", func() float64 { open, _ := h.pool.Connections(); return float64(open) })
+	set.NewGauge("figmast_backend_connections_allowed", func() float64 { _, allowed := h.pool.Connections(); return float64(allowed) })
 	h.ops = h.newServer(o.handler())
 	return h, nil
 }
--- a/daemon/host_test.go
+++ b/daemon/host_test.go
@@ -109,7 +109,7 @@
 	is.True(strings.Contains(second, answered(1)))
 	for _, name := range []string{
 		`figmast_leaf_calls_total{status="ok"}`, "figmast_leaf_call_duration_seconds_bucket", "figmast_request_duration_seconds_bucket",
-		"figmast_view_age_seconds", "figmast_ready 1", "figmast_hosts 2", "figmast_services 1", "go_goroutines", "process_cpu_seconds_total",
+		"figmast_view_age_seconds", "figmast_ready 1", "figmast_hosts 2", "figmast_services 1", "figmast_backend_connections ", "figmast_backend_connections_allowed ", "go_goroutines", "process_cpu_seconds_total",
 	} {
 		if !strings.Contains(first, name) {
 			t.Errorf("%s is missing", name)
--- a/daemon/recorder.go
+++ b/daemon/recorder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
+	"github.com/figmast/figmast/view"
 )
 
 // firstCallsKept is how many first leaf calls of one batch of decisions go
@@ -26,6 +28,8 @@
 	events *timeline.Ring
 	log    *log.Logger
 	sample *sampler
+	// view returns the view in force, or nil.
+	view func() *view.View
 
 	calls     [len(callStatuses)]*metrics.Counter
 	coldCalls *metrics.Counter
@@ -44,6 +48,21 @@
 // serviceMetrics are what is measured for each service.
 type serviceMetrics struct {
 	calls *metrics.Histogram
+	// mean is a moving mean of the calls' time in nanoseconds. A sample that
+	// two calls write over each other does no harm.
+	mean atomic.Int64
+}
+
+// meanWeight is the divisor of a new sample's step towards it.
+const meanWeight = 64
+
+func (m *serviceMetrics) add(took time.Duration) {
+	mean := m.mean.Load()
+	if mean == 0 {
+		m.mean.Store(int64(took))
+		return
+	}
+	m.mean.Store(mean + (int64(took)-mean)/meanWeight)
 }
 
 func newRecorder(set *metrics.Set, events *timeline.Ring, logger *log.Logger) *recorder {
@@ -106,12 +125,14 @@
 // CallEnded implements traffic.Recorder.
 func (r *recorder) CallEnded(s leafcall.Send, res leafcall.Result, took time.Duration) {
 	r.calls[res.Status].Inc()
-	r.service(s.Server.Service).calls.Update(took.Seconds())
+	m := r.service(s.Server.Service)
+	m.calls.Update(took.Seconds())
+	m.add(took)
 	if res.Cold {
 		r.coldCalls.Inc()
 		r.cold.saw(s.Server.Service, s.Server.ID, time.Now())
 	}
-	if res.Status == leafcall.OK && !res.Cold {
+	if res.Status == leafcall.OK && !res.Cold && !r.noteworthy(s.Server.Service, took) {
 		return
 	}
 	if r.log.GetLevel() <= log.DebugLevel && res.Err != nil {
@@ -122,6 +143,20 @@
 	}
 }
 
+// Which answered leaf calls go into the time line: all of a narrow service's,
+// and of a wide one those that are slow against its mean.
+const (
+	narrowLeaves = 8
+	slowFactor   = 3
+)
+
+func (r *recorder) noteworthy(service string, took time.Duration) bool {
+	if v := r.view(); v != nil && v.Services[service] != nil && len(v.Services[service].Leaves) <= narrowLeaves {
+		return true
+	}
+	return took > slowFactor*time.Duration(r.service(service).mean.Load())
+}
+
 func callEvent(s leafcall.Send, res leafcall.Result, took time.Duration) timeline.Event {
 	detail := callStatuses[res.Status] + " after " + took.Round(10*time.Microsecond).String()
 	if res.Cold {
