--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"sort"
 	"strconv"
 	"sync/atomic"
@@ -44,6 +45,8 @@
 	get("/v1/status", o.status)
 	get("/v1/timeline", o.timeline)
 	get("/v1/explain/{request:.+}", o.explain)
+	get("/debug/pprof/profile", pprof.Profile)
+	get("/debug/pprof/{profile}", pprof.Index)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		o.refuse(w, http.StatusNotFound, "no such path", "")
 	})
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -52,6 +52,7 @@
 	for range 50 {
 		ask()
 	}
+	profiled := profile(h)
 	before := processorTime(b, h.cmd.Process.Pid)
 	b.ResetTimer()
 	const callers = 8
@@ -66,12 +67,37 @@
 	}
 	done.Wait()
 	b.StopTimer()
+	<-profiled
 	spent := processorTime(b, h.cmd.Process.Pid) - before
 	b.ReportMetric(float64(spent.Microseconds())/float64(b.N*leaves), "cpu-us/leafcall")
 	b.ReportMetric(float64(spent.Microseconds())/float64(b.N), "cpu-us/query")
 	b.ReportMetric(float64(residentBytes(b, h.cmd.Process.Pid))/(1<<20), "MiB")
 }
 
+// profileEnvironment names a file for the host's processor profile.
+const profileEnvironment = "FIGMAST_PROFILE"
+
+// profile writes a host's processor profile if a file is named for it.
+func profile(h *host) <-chan struct{} {
+	done := make(chan struct{})
+	name := os.Getenv(profileEnvironment)
+	if name == "" {
+		close(done)
+		return done
+	}
+	go func() {
+		defer close(done)
+		resp, err := http.Get("http://" + h.ops + "/debug/pprof/profile?seconds=5")
+		if err != nil {
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		_ = os.WriteFile(name, text, 0o600)
+	}()
+	return done
+}
+
 // wideService is a document with one leaf for each server.
 func wideService(servers []string) []byte {
 	var doc, weights strings.Builder
