Leaf calls: less processor time in front of net/http

Cause: the processor profile of a host under wide queries showed, of 13 s, 5% asking each of 40 connections for an error before each call and 7% building the request (parsing a URL that never changes). Ruled out: locks of our own (below 2%), JSON (3%). 19% and 17% are net/http's write and read loops.

Change: the connection opened last that has room is taken first, and failed ones are looked for only when none has room; requests are built from known parts; bodies of known length are read in one piece.

Processor time of a host for a leaf call, with 10, 30 and 93 leaves, on a busy machine: 117, 93 and 90 us before; 92, 82 and 77 us after (85 us in a second run with 93).

Tried and left out: GOGC=400 gave 79 us with 93 leaves, within the noise, and 362 MiB in place of 133 MiB.

--- a/backend/conns.go
+++ b/backend/conns.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,8 @@
 	// ctx ends when the pool closes.
 	ctx       context.Context
 	address   string
+	query     *url.URL
+	command   *url.URL
 	transport *http.Transport
 	places    *places
 
@@ -29,7 +33,11 @@
 	p := new(http.Protocols)
 	p.SetHTTP1(protocol == document.HTTP1)
 	p.SetUnencryptedHTTP2(protocol == document.HTTP2)
-	c := &conns{ctx: ctx, address: address, places: newPlaces()}
+	c := &conns{
+		ctx: ctx, address: address, places: newPlaces(),
+		query:   &url.URL{Scheme: "http", Host: address, Path: PathQuery},
+		command: &url.URL{Scheme: "http", Host: address, Path: PathCommand},
+	}
 	c.transport = &http.Transport{Protocols: p, DisableCompression: true, DialContext: c.places.dial}
 	return c
 }
@@ -121,16 +129,18 @@
 	}
 }
 
-// reserve returns a connection with room, or nil.
+// reserve returns a connection with room, or nil. It takes the one opened
+// last, so that connections beyond need stay idle, and looks for failed ones
+// only when none has room.
 func (c *conns) reserve() *http.ClientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.prune()
-	for _, cc := range c.open {
+	for _, cc := range slices.Backward(c.open) {
 		if cc.Available() > 0 && cc.Reserve() == nil {
 			return cc
 		}
 	}
+	c.prune()
 	return nil
 }
 
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -120,7 +120,7 @@
 		cc.Release()
 		return notSent(s, "guard", errors.New("the call is no longer allowed"))
 	}
-	return roundTrip(ctx, cc, s, s.Deadline.Sub(now))
+	return roundTrip(ctx, c, cc, s, s.Deadline.Sub(now))
 }
 
 func notSent(s leafcall.Send, step string, err error) leafcall.Result {
@@ -131,18 +131,13 @@
 	return fault.Wrap(fault.Backend, step, s.Server.ID, err)
 }
 
-func roundTrip(ctx context.Context, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
-	req, err := newRequest(ctx, s, left)
-	if err != nil {
-		cc.Release()
-		return notSent(s, "encode", err)
-	}
-	resp, err := cc.RoundTrip(req)
+func roundTrip(ctx context.Context, c *conns, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
+	resp, err := cc.RoundTrip(newRequest(ctx, c, s, left))
 	if err != nil {
 		return failed(ctx, s, "send", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	body, err := readBody(resp)
 	if err != nil {
 		return failed(ctx, s, "receive", err)
 	}
@@ -152,27 +147,45 @@
 	return result(s, resp, body)
 }
 
-func newRequest(ctx context.Context, s leafcall.Send, left time.Duration) (*http.Request, error) {
-	path := PathQuery
-	if s.Command {
-		path = PathCommand
+// readBody reads a body, at most one byte beyond MaxAnswerBytes.
+func readBody(resp *http.Response) ([]byte, error) {
+	if n := resp.ContentLength; n >= 0 && n <= MaxAnswerBytes {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
 	}
-	url := "http://" + s.Server.Address + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(s.Payload))
-	if err != nil {
-		return nil, err
-	}
-	// A connection that breaks must not make net/http send the call again.
-	req.GetBody = nil
-	h := req.Header
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderAttempt, attemptID(s))
-	h.Set(HeaderService, s.Server.Service)
-	h.Set(HeaderLeaf, s.Server.Leaf)
-	h.Set(HeaderSnapshot, s.Snapshot)
-	h.Set(HeaderOperation, s.Operation)
-	h.Set(HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	return req, nil
+	return io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+}
+
+// newRequest builds the request by hand: its URL and header names are known,
+// and a host makes tens of thousands a second. Without GetBody, net/http
+// cannot send it again when the connection breaks.
+func newRequest(ctx context.Context, c *conns, s leafcall.Send, left time.Duration) *http.Request {
+	to := c.query
+	if s.Command {
+		to = c.command
+	}
+	values := []string{
+		"application/json", attemptID(s), s.Server.Service, s.Server.Leaf, s.Snapshot, s.Operation,
+		strconv.FormatInt(max(left.Milliseconds(), 1), 10),
+	}
+	req := &http.Request{
+		Method: http.MethodPost, URL: to, Host: to.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: http.NoBody, ContentLength: int64(len(s.Payload)),
+		Header: http.Header{
+			"Content-Type":  values[0:1:1],
+			HeaderAttempt:   values[1:2:2],
+			HeaderService:   values[2:3:3],
+			HeaderLeaf:      values[3:4:4],
+			HeaderSnapshot:  values[4:5:5],
+			HeaderOperation: values[5:6:6],
+			HeaderDeadline:  values[6:7:7],
+		},
+	}
+	if len(s.Payload) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(s.Payload))
+	}
+	return req.WithContext(ctx)
 }
 
 func attemptID(s leafcall.Send) string {
