--- /dev/null
+++ b/internal/pages/pages_test.go
@@ -0,0 +1,98 @@
+// Package pages checks that the pages for operators are complete.
+package pages
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/document"
+)
+
+const root = "../.."
+
+func page(t *testing.T) string {
+	t.Helper()
+	b, err := os.ReadFile(filepath.Join(root, "docs", "OPERATORS.md"))
+	is.New(t).NoErr(err)
+	return string(b)
+}
+
+// found returns what the first group of the patterns matches in the source.
+func found(t *testing.T, dirs []string, patterns ...string) []string {
+	t.Helper()
+	is := is.New(t)
+	var out []string
+	for _, dir := range dirs {
+		files, err := filepath.Glob(filepath.Join(root, dir, "*.go"))
+		is.NoErr(err)
+		is.True(len(files) > 0)
+		for _, f := range files {
+			if strings.HasSuffix(f, "_test.go") {
+				continue
+			}
+			b, err := os.ReadFile(f)
+			is.NoErr(err)
+			for _, p := range patterns {
+				for _, m := range regexp.MustCompile(p).FindAllStringSubmatch(string(b), -1) {
+					out = append(out, m[1])
+				}
+			}
+		}
+	}
+	return out
+}
+
+func demand(t *testing.T, least int, names []string) {
+	t.Helper()
+	if len(names) < least {
+		t.Fatalf("found only %q", names)
+	}
+	text := page(t)
+	for _, n := range names {
+		if !strings.Contains(text, n) {
+			t.Errorf("docs/OPERATORS.md does not tell of %q", n)
+		}
+	}
+}
+
+func TestEveryMetricIsDocumented(t *testing.T) {
+	demand(t, 15, found(t, []string{"api", "daemon"}, `(figmast_[a-z_]+)`))
+}
+
+func TestEveryLogIsDocumented(t *testing.T) {
+	demand(t, 15, found(t, []string{"api", "daemon", "cmd/figmastd"},
+		`\b(?:log|Log|l)\.(?:Debug|Info|Warn|Error)\("([^"]+)"`, `LogFailure\([^,]+, "([^"]+)"`, `log\.Log\(level, "([^"]+)"`,
+		`detail :?= "(the platform[^"]+)"`))
+}
+
+func TestEveryRefusalIsDocumented(t *testing.T) {
+	demand(t, 25, found(t, []string{"api", "query", "command"},
+		`refuse\(now, "([^"]+)"`, `problem\(http\.\w+, "([^"]+)"`, `comeAgain\("([^"]+)"`, `noTicket\("([^"]+)"`,
+		`Title: "([^"]+)"`, `unavailable\("([^"]+)"`))
+}
+
+func TestEveryFieldIsDocumented(t *testing.T) {
+	var names []string
+	var walk func(t reflect.Type, place string)
+	walk = func(t reflect.Type, place string) {
+		for i := range t.NumField() {
+			f := t.Field(i)
+			at := strings.TrimPrefix(place+"."+f.Tag.Get("yaml"), ".")
+			names = append(names, "| `"+at+"` |")
+			switch {
+			case f.Type.Kind() == reflect.Struct:
+				walk(f.Type, at)
+			case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
+				walk(f.Type.Elem(), at+"[]")
+			}
+		}
+	}
+	walk(reflect.TypeFor[document.Service](), "")
+	demand(t, 35, names)
+}
