--- a/cmd/figmast/call.go
+++ b/cmd/figmast/call.go
@@ -60,7 +60,9 @@
 func (a *queryArgs) run(ctx context.Context, out *printer) error {
 	req := figmast.QueryRequest{Operation: a.Op, Payload: a.payload(), Urgency: figmast.Urgency(a.Urgency), Worth: a.Worth}
 	var ans figmast.QueryAnswer
-	if err := post(ctx, a.url(a.Hosts[0], "/query"), a.requestID(), req, &ans); err != nil {
+	id := a.requestID()
+	err := a.tryHosts(ctx, func(host string) error { return post(ctx, a.url(host, "/query"), id, req, &ans) })
+	if err != nil {
 		return refused(out, err)
 	}
 	if out.json {
@@ -79,6 +81,34 @@
 	return nil
 }
 
+// How often a request is sent again, and how long the command waits before.
+const (
+	resends    = 3
+	resendWait = 200 * time.Millisecond
+)
+
+// tryHosts sends through each host in turn until one gives a final answer.
+func (a callerArgs) tryHosts(ctx context.Context, send func(host string) error) error {
+	for i := 0; ; i++ {
+		err := send(a.Hosts[i%len(a.Hosts)])
+		if err == nil || i == resends || !mayResend(err) {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(resendWait):
+		}
+	}
+}
+
+// mayResend reports whether another send may tell more: no answer came, or
+// the refusal says when to come back.
+func mayResend(err error) bool {
+	p := asProblem(err)
+	return p == nil || p.RetryAfterMs > 0
+}
+
 // commandArgs runs one command.
 type commandArgs struct {
 	callerArgs
@@ -86,28 +116,29 @@
 	Ticket   string `arg:"--ticket" help:"ticket of an earlier try of the same command"`
 }
 
-// resends is how often a command whose outcome is not known yet, or that was
-// not run, is sent again. The ticket makes it safe.
-const (
-	resends    = 3
-	resendWait = 200 * time.Millisecond
-)
-
 func (a *commandArgs) run(ctx context.Context, out *printer) error {
 	req := figmast.CommandRequest{
 		Operation: a.Op, ShardKey: a.ShardKey, Ticket: a.Ticket, Payload: a.payload(),
 		Urgency: figmast.Urgency(a.Urgency), Worth: a.Worth,
 	}
-	if req.Ticket == "" {
-		var t figmast.TicketAnswer
-		if err := post(ctx, a.url(a.Hosts[0], "/tickets"), "", struct{}{}, &t); err != nil {
-			return refused(out, err)
+	var ans figmast.CommandAnswer
+	id := a.requestID()
+	err := a.tryHosts(ctx, func(host string) error {
+		if req.Ticket == "" {
+			var t figmast.TicketAnswer
+			if err := post(ctx, a.url(host, "/tickets"), "", struct{}{}, &t); err != nil {
+				return err
+			}
+			req.Ticket = t.Ticket
 		}
-		req.Ticket = t.Ticket
-	}
-	ans, err := a.send(ctx, req)
+		err := post(ctx, a.url(host, "/command"), id, req, &ans)
+		if notRun(err) && a.Ticket == "" {
+			req.Ticket = "" // it has not run under this ticket and never will
+		}
+		return err
+	})
 	if err != nil {
-		if !out.json {
+		if req.Ticket != "" && !out.json {
 			out.printf("ticket %s", req.Ticket)
 		}
 		return refused(out, err)
@@ -120,30 +151,11 @@
 	return nil
 }
 
-// send sends the command through each host in turn until one knows what
-// became of it.
-func (a *commandArgs) send(ctx context.Context, req figmast.CommandRequest) (figmast.CommandAnswer, error) {
-	var ans figmast.CommandAnswer
-	id := a.requestID()
-	for i := 0; ; i++ {
-		host := a.Hosts[i%len(a.Hosts)]
-		err := post(ctx, a.url(host, "/command"), id, req, &ans)
-		if err == nil || i == resends || !mayResend(err) {
-			return ans, err
-		}
-		select {
-		case <-ctx.Done():
-			return ans, err
-		case <-time.After(resendWait):
-		}
-	}
-}
-
-// mayResend reports whether another send may tell more: no answer came, or
-// the refusal says when to come back.
-func mayResend(err error) bool {
+// notRun reports whether err is a refusal of a command that never runs under
+// its ticket.
+func notRun(err error) bool {
 	p := asProblem(err)
-	return p == nil || p.RetryAfterMs > 0
+	return p != nil && p.Outcome == figmast.NotRun
 }
 
 // refused prints a refusal and ends with exitFailed; other errors pass.
--- a/cmd/figmast/ops.go
+++ b/cmd/figmast/ops.go
@@ -50,16 +50,21 @@
 }
 
 // askAll asks every host at once; the replies stand in the hosts' order.
-func askAll[T any](ctx context.Context, list []string, path string, query url.Values) []reply[T] {
+func askAll[T any](ctx context.Context, list []string, path string) []reply[T] {
+	return askEach[T](ctx, list, path, func(string) url.Values { return nil })
+}
+
+// askEach is askAll with a query of its own for each host.
+func askEach[T any](ctx context.Context, list []string, path string, query func(address string) url.Values) []reply[T] {
 	replies := make([]reply[T], len(list))
 	var asking sync.WaitGroup
 	for i, a := range list {
+		u := url.URL{Scheme: "http", Host: a, Path: path, RawQuery: query(a).Encode()}
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
 			r := &replies[i]
 			r.address = a
-			u := url.URL{Scheme: "http", Host: a, Path: path, RawQuery: query.Encode()}
 			r.err = get(ctx, u.String(), &r.value)
 		}()
 	}
--- a/cmd/figmast/status.go
+++ b/cmd/figmast/status.go
@@ -24,7 +24,7 @@
 }
 
 func (a *statusArgs) run(ctx context.Context, out *printer) error {
-	replies := askAll[daemon.Status](ctx, a.Ops, "/v1/status", nil)
+	replies := askAll[daemon.Status](ctx, a.Ops, "/v1/status")
 	var failed error
 	for _, r := range replies {
 		if r.err != nil {
--- a/cmd/figmast/timeline.go
+++ b/cmd/figmast/timeline.go
@@ -50,18 +50,17 @@
 // answer are named; the error tells that none did.
 func (a *timelineArgs) read(ctx context.Context, since map[string]timeline.Stamp) ([]timeline.Event, error) {
 	var lists [][]timeline.Event
-	for _, address := range a.Ops {
-		replies := askAll[[]timeline.Event](ctx, []string{address}, "/v1/timeline", a.query(since[address]))
-		r := replies[0]
+	ask := func(address string) url.Values { return a.query(since[address]) }
+	for _, r := range askEach[[]timeline.Event](ctx, a.Ops, "/v1/timeline", ask) {
 		if r.err != nil {
 			if ctx.Err() == nil {
-				fmt.Fprintf(os.Stderr, "figmast: %s: %v\n", address, r.err)
+				fmt.Fprintf(os.Stderr, "figmast: %s: %v\n", r.address, r.err)
 			}
 			continue
 		}
 		lists = append(lists, r.value)
 		if n := len(r.value); n > 0 {
-			since[address] = r.value[n-1].Stamp
+			since[r.address] = r.value[n-1].Stamp
 		}
 	}
 	if len(lists) == 0 {
@@ -129,7 +128,7 @@
 func (a *explainArgs) run(ctx context.Context, out *printer) error {
 	var lists [][]timeline.Event
 	failed := 0
-	for _, r := range askAll[[]timeline.Event](ctx, a.Ops, "/v1/explain/"+a.Request, nil) {
+	for _, r := range askAll[[]timeline.Event](ctx, a.Ops, "/v1/explain/"+a.Request) {
 		if r.err != nil {
 			failed++
 			fmt.Fprintf(os.Stderr, "figmast: %s: %v\n", r.address, r.err)
--- a/cmd/figmastd/main.go
+++ b/cmd/figmastd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	stdlog "log"
 	"os"
@@ -23,8 +24,10 @@
 
 func main() {
 	var s daemon.Settings
+	line, faults := takeBadDurations(os.Args[1:])
+	os.Args = append(os.Args[:1], line...)
 	p := arg.MustParse(&s)
-	if err := s.Check(); err != nil {
+	if err := errors.Join(append(faults, s.Check())...); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		p.WriteUsage(os.Stderr)
 		os.Exit(exitSettings)
