--- a/daemon/host.go
+++ b/daemon/host.go
@@ -99,7 +99,7 @@
 		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now,
 		Draining: h.draining.Load, Log: logger, Metrics: set,
 	}))
-	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, cold: &rec.cold}
+	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, cold: &rec.cold, peers: h.peers.stats}
 	o.gauges()
 	set.NewGauge("figmast_backend_connections", func() float64 { open, _ := h.pool.Connections(); return float64(open) })
 	set.NewGauge("figmast_backend_connections_allowed", func() float64 { _, allowed := h.pool.Connections(); return float64(allowed) })
--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -15,6 +15,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/peer"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/view"
 )
@@ -34,6 +35,8 @@
 	draining *atomic.Bool
 	set      *metrics.Set
 	cold     *coldServers
+	// peers returns the traffic with other hosts so far.
+	peers func() peer.Stats
 }
 
 func (o *ops) handler() http.Handler {
@@ -66,6 +69,9 @@
 		return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Services)) })
 	})
 	o.set.NewGauge("figmast_view_age_seconds", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return age(v).Seconds() }) })
+	o.set.NewGauge("figmast_peer_sent_bytes", func() float64 { return float64(o.peers().Sent) })
+	o.set.NewGauge("figmast_peer_received_bytes", func() float64 { return float64(o.peers().Received) })
+	o.set.NewGauge("figmast_peer_connections", func() float64 { return float64(o.peers().Connections) })
 	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.cold.list(time.Now()))) })
 }
 
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -47,6 +47,14 @@
 	return answer, nil
 }
 
+// stats returns the traffic with other hosts so far.
+func (p *peers) stats() peer.Stats {
+	if p.transport == nil {
+		return peer.Stats{}
+	}
+	return p.transport.Stats()
+}
+
 func (p *peers) observe(s timeline.Stamp) {
 	if s.Wall < time.Now().Add(maxAhead).UnixNano() {
 		p.events.Observe(s)
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 	"time"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/internal/fake"
 	"github.com/figmast/figmast/platform"
 )
 
@@ -143,3 +145,94 @@
 	}
 	return pages * int64(os.Getpagesize())
 }
+
+// idleFor is how long hosts are watched at rest.
+const idleFor = 10 * time.Second
+
+// BenchmarkHostAtRest measures what a host spends on control while no caller
+// asks and nothing changes, by the number of hosts: processor time, memory,
+// bytes to and from other hosts, and calls to the platform. Run it with
+// -benchtime 1x.
+func BenchmarkHostAtRest(b *testing.B) {
+	for _, hosts := range []int{3, 9, 27} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) { benchmarkRest(b, hosts) })
+	}
+}
+
+func benchmarkRest(b *testing.B, hosts int) {
+	f := newFleet(b)
+	servers := startBackends(b, 4)
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("127.0.2.%d", i+2), fmt.Sprintf("dc-%d", i%3))
+	}
+	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.waitReady()
+	time.Sleep(time.Second)
+	before, calls := f.use(), f.platformCalls()
+	for range b.N {
+		time.Sleep(idleFor)
+	}
+	after := f.use()
+	seconds := float64(b.N) * idleFor.Seconds()
+	n := float64(hosts) * seconds
+	b.ReportMetric((after.processor-before.processor).Seconds()/n*100, "%core/host")
+	b.ReportMetric((after.bytes-before.bytes)/n/1024, "KB/s/host")
+	b.ReportMetric(after.memory/float64(hosts)/(1<<20), "MiB/host")
+	b.ReportMetric(after.connections/float64(hosts), "peer-conns/host")
+	b.ReportMetric(float64(f.platformCalls()-calls)/seconds, "platform-calls/s")
+}
+
+// use is what all hosts have used so far.
+type use struct {
+	processor   time.Duration
+	bytes       float64
+	memory      float64
+	connections float64
+}
+
+func (f *fleet) use() use {
+	var u use
+	for _, h := range f.hosts {
+		u.processor += processorTime(f.t, h.cmd.Process.Pid)
+		u.memory += float64(residentBytes(f.t, h.cmd.Process.Pid))
+		u.bytes += metric(f.t, h, "figmast_peer_sent_bytes") + metric(f.t, h, "figmast_peer_received_bytes")
+		u.connections += metric(f.t, h, "figmast_peer_connections")
+	}
+	return u
+}
+
+// metric returns one value of a host's metrics.
+func metric(t testing.TB, h *host, name string) float64 {
+	t.Helper()
+	resp, err := http.Get("http://" + h.ops + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if rest, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			v, err := strconv.ParseFloat(rest, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return v
+		}
+	}
+	t.Fatalf("%s: no metric %s", h.id, name)
+	return 0
+}
+
+// platformCalls returns how many calls the platform has had.
+func (f *fleet) platformCalls() int64 {
+	resp, err := http.Get("http://" + f.platform + fake.PathCalls)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var n int64
+	if err := json.NewDecoder(resp.Body).Decode(&n); err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -16,6 +16,8 @@
 const (
 	PathPut    = "/v3/kv/put"
 	PathDelete = "/v3/kv/deleterange"
+	// PathCalls tells how many calls there were.
+	PathCalls = "/fake/calls"
 )
 
 // PutRequest publishes a value.
@@ -96,6 +98,10 @@
 
 // ServeHTTP serves the platform's protocol.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathCalls {
+		_ = json.NewEncoder(w).Encode(p.Calls())
+		return
+	}
 	p.mu.Lock()
 	p.calls++
 	down := p.down
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -63,7 +63,9 @@
 	close(c.done)
 	if c.err == nil {
 		stop := closeAtExpiry(c.conn)
+		end := t.ledger.track(c.conn)
 		<-c.conn.Context().Done()
+		end()
 		stop()
 	}
 	t.mu.Lock()
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -69,6 +69,7 @@
 	socket   *net.UDPConn
 	quic     *quic.Transport
 	listener *quic.Listener
+	ledger   ledger
 
 	mu    sync.Mutex
 	conns map[string]*connection
@@ -220,6 +221,7 @@
 func (t *Transport) serveConn(c *quic.Conn) {
 	defer t.serving.Done()
 	defer closeAtExpiry(c)()
+	defer t.ledger.track(c)()
 	for {
 		s, err := c.AcceptStream(t.ctx)
 		if err != nil {
