--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"sort"
 	"strconv"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/peer"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/view"
 )
@@ -33,6 +35,8 @@
 	draining *atomic.Bool
 	set      *metrics.Set
 	cold     *coldServers
+	// peers returns the traffic with other hosts so far.
+	peers func() peer.Stats
 }
 
 func (o *ops) handler() http.Handler {
@@ -44,6 +48,8 @@
 	get("/v1/status", o.status)
 	get("/v1/timeline", o.timeline)
 	get("/v1/explain/{request:.+}", o.explain)
+	get("/debug/pprof/profile", pprof.Profile)
+	get("/debug/pprof/{profile}", pprof.Index)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		o.refuse(w, http.StatusNotFound, "no such path", "")
 	})
@@ -63,6 +69,9 @@
 		return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Services)) })
 	})
 	o.set.NewGauge("figmast_view_age_seconds", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return age(v).Seconds() }) })
+	o.set.NewGauge("figmast_peer_sent_bytes", func() float64 { return float64(o.peers().Sent) })
+	o.set.NewGauge("figmast_peer_received_bytes", func() float64 { return float64(o.peers().Received) })
+	o.set.NewGauge("figmast_peer_connections", func() float64 { return float64(o.peers().Connections) })
 	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.cold.list(time.Now()))) })
 }
 
--- a/policy/router.go
+++ b/policy/router.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/view"
 )
@@ -79,6 +81,7 @@
 type leaf struct {
 	service  *service
 	name     string
+	hash     uint64
 	doc      document.Leaf
 	servers  []*Server
 	division []divided
@@ -115,19 +118,13 @@
 	old := r.view
 	r.view = v
 	r.applyHosts(at, v)
-	if old != nil && !old.Valid(now) && !sameListing(old, v) {
-		r.fleet.rejoin(at)
+	if old != nil && !old.Valid(now) {
+		r.returned(old)
 	}
 	r.applyServices(at, v)
 	r.share(at, v.Valid(now))
 }
 
-// sameListing reports whether this host is known to have stayed on the host
-// list from one view to the next.
-func sameListing(old, v *view.View) bool {
-	return old.ListedRevision != 0 && old.ListedRevision == v.ListedRevision
-}
-
 func (r *Router) applyHosts(at time.Duration, v *view.View) {
 	self := r.fleet.self
 	came, went := r.fleet.update(at, v)
@@ -189,7 +186,7 @@
 	for _, d := range doc.Leaves {
 		l := s.leaves[d.Name]
 		if l == nil {
-			l = &leaf{service: s, name: d.Name, hedges: newBudget(hedgeBurst)}
+			l = &leaf{service: s, name: d.Name, hash: xxhash.Sum64String(s.name + "\x00" + d.Name), hedges: newBudget(hedgeBurst)}
 		}
 		r.applyLeaf(at, l, d)
 		next[d.Name] = l
