--- a/query/part.go
+++ b/query/part.go
@@ -104,9 +104,6 @@
 	p.hedgeAt = now.Add(router.HedgeDelay(r.req.Service, p.leaf))
 	r.unsure++
 	r.engine.calls[a.id] = a
-	if r.engine.out.Send == nil {
-		r.engine.out.Send = make([]leafcall.Send, 0, len(r.open))
-	}
 	r.engine.out.Send = append(r.engine.out.Send, leafcall.Send{
 		ID: a.id, Server: srv, Via: router.Holder(srv), RequestID: r.req.ID, Operation: r.req.Operation,
 		Snapshot: a.snapshot, Payload: r.req.Payload, Deadline: r.req.Deadline,
--- a/query/run.go
+++ b/query/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,6 +102,7 @@
 		r.total += w.Weight
 		r.parts = append(r.parts, part{run: r, leaf: w.Leaf, weight: w.Weight, queue: r.service.leaf(w.Leaf), place: noPlace})
 	}
+	r.engine.out.Send = slices.Grow(r.engine.out.Send, len(r.parts))
 	r.open = make([]*part, len(r.parts))
 	for i := range r.parts {
 		p := &r.parts[i]
