Query: urgent queries start past waiting ones; turns that do not run up credit

Cause: two bulk parts that wait at a leaf kept urgent queries of the service from starting. Change: the parts that wait are counted by rank, so that a query is held back only by those of its rank or before; a turn goes on with what is left of it.

--- a/query/admission.go
+++ b/query/admission.go
@@ -57,10 +57,15 @@
 	return r
 }
 
+// ranks is how many urgencies there are.
+const ranks = 3
+
+func (r *run) rank() int { return r.req.Urgency.Rank() }
+
 // before orders queries: urgent ones first, then by worth for each leaf call,
 // then by arrival. All queries of a service cost the same number of calls.
 func (r *run) before(other *run) bool {
-	if a, b := r.req.Urgency.Rank(), other.req.Urgency.Rank(); a != b {
+	if a, b := r.rank(), other.rank(); a != b {
 		return a < b
 	}
 	if r.req.Worth != other.req.Worth {
@@ -86,7 +91,7 @@
 	switch s := r.service; {
 	case s.late(now, r):
 		r.refuse(now, "too little time left", "admit", tooLate)
-	case len(s.queue) == 0 && s.free():
+	case len(s.queue) == 0 && s.free(r):
 		r.begin(now)
 	default:
 		s.enqueue(now, r)
@@ -100,8 +105,13 @@
 	return left <= 0 || left < s.needs(now)
 }
 
-// free reports whether the service takes one more query.
-func (s *service) free() bool { return s.crowded == 0 && s.engine.room() }
+// free reports whether the service takes the query now.
+func (s *service) free(r *run) bool { return s.crowded[r.rank()] == 0 && s.engine.room() }
+
+// ready reports whether a query waits that the service itself can take.
+func (s *service) ready() bool {
+	return len(s.queue) > 0 && s.crowded[s.queue[0].rank()] == 0
+}
 
 // room reports whether the host takes more leaf calls.
 func (e *Engine) room() bool { return len(e.calls) < e.opts.MaxCalls }
@@ -158,7 +168,7 @@
 	if s == nil {
 		return
 	}
-	for len(s.queue) > 0 && s.crowded == 0 {
+	for s.ready() {
 		if !e.room() {
 			e.fair.join(s)
 			return
--- a/query/leafqueue.go
+++ b/query/leafqueue.go
@@ -8,8 +8,8 @@
 // noPlace is the index of what stands in no queue.
 const noPlace = -1
 
-// crowdedAt is how many parts wait at a leaf before its service starts no
-// further query: enough to keep the leaf busy, few enough to end in time.
+// crowdedAt is how many parts of a rank, or of those before it, wait at a leaf
+// before its service starts no further query of that rank: enough to keep the leaf busy, few enough to end in time.
 const crowdedAt = 2
 
 // leafQueue is what the engine keeps of one leaf: a heap of the parts that
@@ -17,6 +17,8 @@
 type leafQueue struct {
 	service *service
 	parts   []*part
+	// ahead counts the waiting parts of each rank and of those before it.
+	ahead [ranks]int
 	// marks tell which servers lack a snapshot.
 	marks []mark
 }
@@ -56,8 +58,10 @@
 
 func (q *leafQueue) add(p *part) {
 	heap.Push(q, p)
-	if len(q.parts) == crowdedAt {
-		q.service.crowded++
+	for rank := p.run.rank(); rank < ranks; rank++ {
+		if q.ahead[rank]++; q.ahead[rank] == crowdedAt {
+			q.service.crowded[rank]++
+		}
 	}
 }
 
@@ -65,8 +69,10 @@
 	if p.place == noPlace {
 		return
 	}
-	if len(q.parts) == crowdedAt {
-		q.service.crowded--
+	for rank := p.run.rank(); rank < ranks; rank++ {
+		if q.ahead[rank]--; q.ahead[rank] == crowdedAt-1 {
+			q.service.crowded[rank]--
+		}
 	}
 	heap.Remove(q, p.place)
 }
--- a/query/property_test.go
+++ b/query/property_test.go
@@ -281,7 +281,7 @@
 		h.t.Fatalf("left over: %d runs, %d calls, %d timers, %d bytes", len(e.runs), len(e.calls), len(e.timers), e.queued)
 	}
 	for _, s := range e.services {
-		if s.running+s.crowded+len(s.queue) != 0 {
+		if s.running+len(s.queue) != 0 || s.crowded != [ranks]int{} {
 			h.t.Fatalf("left over: %d running, %d crowded, %d queued", s.running, s.crowded, len(s.queue))
 		}
 	}
--- a/query/service.go
+++ b/query/service.go
@@ -21,8 +21,9 @@
 	engine *Engine
 	name   string
 	leaves map[string]*leafQueue
-	// crowded counts leaves at which as many parts wait as may.
-	crowded int
+	// crowded counts, for each rank, the leaves at which as many parts wait as
+	// may.
+	crowded [ranks]int
 	// running counts admitted queries.
 	running int
 	queue   admissionQueue
--- a/query/turns.go
+++ b/query/turns.go
@@ -25,16 +25,22 @@
 	}
 }
 
-// serve starts queries of the services in turn while the host has room.
+// serve starts queries of the services in turn while the host has room. A
+// turn that ends for want of room goes on with what is left of it.
 func (t *turns) serve(now time.Time, e *Engine) {
 	for len(t.round) > 0 && e.room() {
 		s := t.round[0]
-		s.turn.deficit += quantum
-		for s.turn.deficit > 0 && len(s.queue) > 0 && s.free() {
+		if s.turn.deficit <= 0 {
+			s.turn.deficit += quantum
+		}
+		for s.turn.deficit > 0 && s.ready() && e.room() {
 			s.turn.deficit -= s.startFirst(now)
 		}
+		if s.turn.deficit > 0 && s.ready() {
+			return
+		}
 		t.round = append(t.round[:0], t.round[1:]...)
-		if len(s.queue) == 0 || s.crowded > 0 {
+		if !s.ready() {
 			s.turn = turn{}
 			continue
 		}
