--- a/policy/choose.go
+++ b/policy/choose.go
@@ -42,7 +42,7 @@
 	// latency, so that work crosses over only for a clear gain.
 	awayFactor = 1.5
 	// aboutEqual is the ratio of costs within which servers count as equal.
-	aboutEqual = 1.25
+	aboutEqual = 1.1
 	// failureFactor is what one recent failure adds.
 	failureFactor = 4
 	// defaultLatency stands for a server that nobody has asked yet.
@@ -50,6 +50,8 @@
 	// exploreOdds is how often, as one in so many, a cold server with room
 	// gets the call, so that it warms up while others do the work.
 	exploreOdds = 8
+	// exploreSlowOdds holds while its last answer was slow.
+	exploreSlowOdds = 64
 )
 
 // Pick returns the backend server for a leaf call, or nil and why. The caller
@@ -195,12 +197,20 @@
 		return c.ejected, Picked
 	case c.count == 0:
 		return nil, c.reason
-	case c.cold != nil && p.first() && r.opts.Rand.IntN(exploreOdds) == 0:
+	case c.cold != nil && p.first() && r.opts.Rand.IntN(c.cold.exploreOdds()) == 0:
 		return c.cold, Picked
 	}
 	return r.cheapest(c.candidates[:c.count]), Picked
 }
 
+// exploreOdds returns how rarely a cold server gets a call for its own sake.
+func (s *Server) exploreOdds() int {
+	if s.warmth.slow&1 != 0 {
+		return exploreSlowOdds
+	}
+	return exploreOdds
+}
+
 // cheapest returns one of the servers whose cost is about the least, so that
 // hosts with about the same experience do not all choose the same server.
 func (r *Router) cheapest(list []candidate) *Server {
--- a/policy/choose_test.go
+++ b/policy/choose_test.go
@@ -114,7 +114,7 @@
 	down := true
 	asked := func() int {
 		n := 0
-		for range 500 {
+		for range 1500 {
 			srv, _ := r.Pick(now, leaf0)
 			r.Begin(now, srv)
 			o := Observation{Latency: time.Millisecond}
@@ -132,7 +132,7 @@
 	is.True(asked() < 25) // probes only
 	down = false
 	asked()
-	is.True(asked() > 100) // back in use
+	is.True(asked() > 500) // back in use
 }
 
 func TestOnlyAnEjectedServerLeftIsProbedOneAtATime(t *testing.T) {
--- a/policy/health.go
+++ b/policy/health.go
@@ -10,7 +10,11 @@
 	shedWeight    = 0.5
 	timeoutWeight = 0.5
 	// penaltyHalfLife is how fast failures are forgotten.
-	penaltyHalfLife = 3 * time.Second
+	penaltyHalfLife = time.Second
+	// answerRelief is what an answer leaves of the penalty.
+	answerRelief = 0.7
+	// leastPenalty is as good as none.
+	leastPenalty = 0.03
 	// maxPenalty bounds what a row of failures adds up to.
 	maxPenalty = 20
 	// ejectAfter failures in a row a server is left alone for a while.
@@ -37,7 +41,7 @@
 		return 0
 	}
 	p := h.penalty * math.Exp2(-float64(at-h.noted)/float64(penaltyHalfLife))
-	if p < 0.01 {
+	if p < leastPenalty {
 		h.penalty = 0
 		return 0
 	}
@@ -65,6 +69,7 @@
 func (h *health) succeed() {
 	h.row = 0
 	h.until = 0
+	h.penalty *= answerRelief
 }
 
 func (h *health) ejected(at time.Duration) bool { return h.until > at }
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -8,6 +8,9 @@
 	firstHedgeDelay = 50 * time.Millisecond
 	// minHedgeDelay is below what a second attempt can gain.
 	minHedgeDelay = time.Millisecond
+	// maxHedgeDelay, as a multiple of the median, holds where a server that
+	// hangs has moved the quantile.
+	maxHedgeDelay = 8
 	// hedgeMargin is the part of the budget that the delay is set for, so that
 	// there is a token left when a straggler shows.
 	hedgeMargin = 0.75
@@ -29,7 +32,7 @@
 	if d == 0 {
 		return firstHedgeDelay
 	}
-	return max(d, minHedgeDelay)
+	return max(min(d, maxHedgeDelay*l.latency.median), minHedgeDelay)
 }
 
 // SpendHedge takes one hedge from the leaf's budget, or from what the
--- a/policy/histogram.go
+++ b/policy/histogram.go
@@ -27,6 +27,7 @@
 	fresh  int
 	wanted float64
 	at     time.Duration
+	median time.Duration
 }
 
 func bucketOf(d time.Duration) int {
@@ -67,7 +68,8 @@
 		return 0
 	}
 	if h.at == 0 || h.fresh >= quantileEvery || q != h.wanted {
-		h.at, h.wanted, h.fresh = h.find(q), q, 0
+		h.at, h.median = h.find(q), h.find(0.5)
+		h.wanted, h.fresh = q, 0
 	}
 	return h.at
 }
--- a/policy/limiter_test.go
+++ b/policy/limiter_test.go
@@ -38,6 +38,22 @@
 	is.True(s.coverage() >= 0.999)
 }
 
+// A server that hangs holds up nothing but what hedges cannot pay for.
+func TestAHungServerIsLeft(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, 9, 3, Options{}, shape{leaves: 30, servers: 3, connections: 60, centres: 3}.doc(), 5*time.Millisecond)
+	s.run(300, 2*time.Second)
+	s.reset()
+	for _, id := range []string{"s0-0", "s1-1", "s2-2"} {
+		s.servers[id].slowBy = 1000
+	}
+	s.run(300, 4*time.Second)
+	t.Log(s)
+	is.True(s.coverage() >= 0.999)
+	is.True(s.quantile(.99) < 40*time.Millisecond)
+	is.True(s.quantile(.999) < 200*time.Millisecond)
+}
+
 func TestALostReplicaCostsNoCoverage(t *testing.T) {
 	is := is.New(t)
 	s := newSim(1, 9, 3, Options{}, shape{leaves: 30, servers: 3, connections: 30, centres: 3}.doc(), 5*time.Millisecond)
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -71,11 +71,19 @@
 	peers := s.leaf.typical(s)
 	s.health.succeed()
 	s.latency.add(at, o.Latency)
-	s.leaf.latency.add(o.Latency)
+	s.leaf.note(s, o.Latency)
 	s.limiter.answered(at, s, busy, o.Latency)
 	s.warmth.answered(at, s, busy, sample{latency: o.Latency, peers: peers, saidCold: o.Cold})
 }
 
+// note records a latency for hedging. Those of cold servers would move the
+// delay after which a second attempt goes to a warm one.
+func (l *leaf) note(s *Server, latency time.Duration) {
+	if s.warmth.state != cold {
+		l.latency.add(latency)
+	}
+}
+
 // outlasted takes in a call that ended without an answer: its server would
 // have taken longer still.
 func (s *Server) outlasted(at time.Duration, o Observation) {
@@ -83,7 +91,7 @@
 		s.latency.add(at, o.Latency)
 	}
 	if o.Latency >= s.leaf.latency.quantile() {
-		s.leaf.latency.add(o.Latency)
+		s.leaf.note(s, o.Latency)
 	}
 	s.warmth.note(at, s, sample{latency: o.Latency, peers: s.leaf.typical(s), censored: true})
 	if o.Result == ResultTimeout {
