--- a/backend/socket.go
+++ b/backend/socket.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +75,27 @@
 	return p.used >= p.limit
 }
 
+// over reports whether more places are taken than the limit now allows.
+func (p *places) over() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used > p.limit
+}
+
+// taken reports whether any place is.
+func (p *places) taken() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used > 0
+}
+
+// share returns the limit.
+func (p *places) share() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limit
+}
+
 // dial takes a place and opens a connection in it. The error is
 // errNoConnection when no place is left.
 func (p *places) dial(ctx context.Context, _, address string) (net.Conn, error) {
@@ -101,13 +121,15 @@
 	time.AfterFunc(lingerLimit, p.release)
 }
 
+// dialTCP leaves the local port to the kernel at connect time: a socket bound
+// to port 0 first needs a port that no other connection has.
 func dialTCP(ctx context.Context, address string) (*net.TCPConn, error) {
-	to, err := netip.ParseAddrPort(address)
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	var d net.Dialer
-	return d.DialTCP(ctx, "tcp", netip.AddrPort{}, to)
+	return c.(*net.TCPConn), nil
 }
 
 // socket is a connection that gives its place back when both sides have
@@ -123,7 +145,11 @@
 	if s.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	return s.TCPConn.Read(b)
+	n, err := s.TCPConn.Read(b)
+	if s.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // Close closes this side, and the rest when the other side has followed or
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -150,7 +153,7 @@
 		DrainWait: 50 * time.Millisecond, DrainLimit: 10 * time.Second, TicketLife: 10 * time.Minute, LogLevel: "info",
 	}
 	for _, address := range []*string{&s.CallerListen, &s.OpsListen, &s.PeerListen} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = FreeAddress(loopback); err != nil {
 			return s, err
 		}
 	}
@@ -160,14 +163,33 @@
 	return s, s.Check()
 }
 
-// freeAddress returns an IP number and port that nothing listens on.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+// Ports that FreeAddress chooses from: the system gives none of them to
+// outgoing connections, which could take one before it is listened on.
+const (
+	firstPort = 10_240
+	portCount = 32_768 - firstPort
+	portTries = 100
+)
+
+// lastPort counts the ports handed out, from a place of its own for each
+// process.
+var lastPort atomic.Int64
+
+func init() { lastPort.Store(rand.Int64N(portCount)) }
+
+// FreeAddress returns that IP number with a port that nothing listens on; a
+// process gets none twice.
+func FreeAddress(ip string) (string, error) {
+	var failed error
+	for range portTries {
+		address := net.JoinHostPort(ip, strconv.FormatInt(firstPort+lastPort.Add(1)%portCount, 10))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		failed = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", failed
 }
 
 // Publish publishes the service's document.
