Relayed calls count at the host that makes them; calls that never left tell nothing of the server

A holder can ask its Router before it makes a call for a peer: its own view, share and limits decide, so a peer's late view cannot send work to a data centre that is out, and calls for peers and its own stay within one limit. ResultUnsent is for calls that failed on this side (no free connection, the guard, an unreachable holder); as ResultFailed they ejected the server after two. Joined tells when a newcomer may hold connections.

--- a/policy/observe.go
+++ b/policy/observe.go
@@ -13,6 +13,7 @@
 	ResultBroken           // the connection broke after the call was sent
 	ResultTimeout          // the deadline passed
 	ResultCancelled        // given up by this host
+	ResultUnsent           // no byte left, for a reason that is not the server's
 )
 
 // Observation is what a finished leaf call tells about its server.
@@ -23,9 +24,6 @@
 	Cold bool
 	// Fingerprint of the request, as in Pick.
 	Fingerprint uint64
-	// Holder is set when the call failed on its way to the host that holds the
-	// connections, so that it tells nothing about the server.
-	Holder bool
 }
 
 // Begin records that a call to srv starts.
@@ -45,9 +43,6 @@
 	busy := srv.inFlight
 	srv.inFlight--
 	srv.leaf.service.flow.done(at, o.Result)
-	if o.Holder {
-		return
-	}
 	if o.Cold {
 		srv.warmth.saidCold(at, srv)
 	}
--- /dev/null
+++ b/policy/relay_test.go
@@ -0,0 +1,65 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/document"
+)
+
+func TestRelayKeepsToThisHostsViewAndLimits(t *testing.T) {
+	is := is.New(t)
+	doc := shape{servers: 2, connections: 2, centres: 2}.doc()
+	all := routers(3, 1, Options{}, doc)
+	relayed, refused := 0, 0
+	for _, r := range all {
+		for {
+			srv, reason := r.Relay(epoch, "svc", "leaf0", "s0-0")
+			if srv == nil {
+				is.True(reason == AllBusy || reason == NoServer)
+				refused++
+				break
+			}
+			r.Begin(epoch, srv)
+			relayed++
+		}
+	}
+	is.Equal(relayed, 2) // the server's connections
+	is.Equal(refused, 3)
+
+	holder := all[0]
+	out := shape{servers: 2, connections: 2, centres: 2, edit: func(d *document.Service) { d.DataCentresOut = []string{"dc1"} }}.doc()
+	holder.Apply(epoch, viewOf(holder.View().Self, holder.View().Hosts, out))
+	_, reason := holder.Relay(epoch, "svc", "leaf0", "s0-1")
+	is.Equal(reason, AllOut)
+	_, reason = holder.Relay(epoch, "svc", "leaf0", "unknown")
+	is.Equal(reason, NoServer)
+	_, reason = holder.Relay(epoch, "svc", "unknown", "s0-1")
+	is.Equal(reason, UnknownLeaf)
+	_, reason = holder.Relay(epoch.Add(10000*time.Hour), "svc", "leaf0", "s0-1")
+	is.Equal(reason, StaleView)
+}
+
+func TestUnsentCallsTellNothingOfTheServer(t *testing.T) {
+	is := is.New(t)
+	r := routers(1, 1, Options{}, shape{servers: 1, connections: 2}.doc())[0]
+	for range 10 {
+		call(t, r, epoch, leaf0, Observation{Result: ResultUnsent})
+	}
+	srv := r.server("svc", "leaf0", "s0-0")
+	is.Equal(srv.health.recent(r.last), 0.0)
+	is.Equal(srv.warmth.state, unknown)
+	is.Equal(srv.inFlight, 0)
+}
+
+func TestJoined(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(1, Options{ShareLag: time.Second})
+	is.True(!r.Joined(epoch))
+	h := hostList(1, 1)
+	r.Apply(epoch, viewOf(h[0], h, shape{servers: 1, connections: 2}.doc()))
+	is.True(!r.Joined(epoch.Add(time.Second)))
+	is.True(r.Joined(epoch.Add(2 * time.Second)))
+}
