Holders that fail are avoided for 2 s; a break on the way to one says nothing of the server

A host that is replaced breaks every call relayed through it. Taken for breaks of the backend servers, these would eject servers and mark requests as crash suspects: ResultNoVerdict, with HolderFailed, is for them.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -32,6 +32,8 @@
 	listed bool
 	// gone is when this host first saw it no longer listed.
 	gone time.Duration
+	// avoidUntil is set while calls through the host are failing.
+	avoidUntil time.Duration
 	// round of the last view that listed it.
 	round uint64
 }
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -13,7 +13,7 @@
 	ResultBroken           // the connection broke after the call was sent
 	ResultTimeout          // the deadline passed
 	ResultCancelled        // given up by this host
-	ResultUnsent           // no byte left, for a reason that is not the server's
+	ResultNoVerdict        // ended on this side or at the holder: tells nothing of the server
 )
 
 // Observation is what a finished leaf call tells about its server.
--- a/policy/relay_test.go
+++ b/policy/relay_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -42,11 +43,11 @@
 	is.Equal(reason, StaleView)
 }
 
-func TestUnsentCallsTellNothingOfTheServer(t *testing.T) {
+func TestCallsWithoutVerdictTellNothingOfTheServer(t *testing.T) {
 	is := is.New(t)
 	r := routers(1, 1, Options{}, shape{servers: 1, connections: 2}.doc())[0]
 	for range 10 {
-		call(t, r, epoch, leaf0, Observation{Result: ResultUnsent})
+		call(t, r, epoch, leaf0, Observation{Result: ResultNoVerdict})
 	}
 	srv := r.server("svc", "leaf0", "s0-0")
 	is.Equal(srv.health.recent(r.last), 0.0)
@@ -54,6 +55,29 @@
 	is.Equal(srv.inFlight, 0)
 }
 
+func TestAFailedHolderIsAvoided(t *testing.T) {
+	is := is.New(t)
+	all := routers(9, 1, Options{}, shape{servers: 1, connections: 3}.doc())
+	without := slices.IndexFunc(all, func(r *Router) bool { return len(r.Shares()) == 0 })
+	r := all[without]
+	srv := r.server("svc", "leaf0", "s0-0")
+	first := r.Holder(srv)
+	r.HolderFailed(epoch, first.ID)
+	for range 100 {
+		is.True(r.Holder(srv).ID != first.ID)
+	}
+	for _, h := range r.View().Hosts {
+		r.HolderFailed(epoch, h.ID)
+	}
+	is.True(r.Holder(srv).ID != "") // better a doubtful one than none
+	r.at(epoch.Add(avoidFor + time.Second))
+	seen := make(map[string]bool)
+	for range 100 {
+		seen[r.Holder(srv).ID] = true
+	}
+	is.Equal(len(seen), 3)
+}
+
 func TestJoined(t *testing.T) {
 	is := is.New(t)
 	r := newTestRouter(1, Options{ShareLag: time.Second})
--- a/policy/shares.go
+++ b/policy/shares.go
@@ -245,10 +245,34 @@
 		srv.holders = r.findHolders(srv)
 		srv.holdersEpoch = r.epoch
 	}
-	if len(srv.holders) == 0 {
+	return r.anyHolder(srv.holders)
+}
+
+// anyHolder returns one of the hosts at random, where possible one that has
+// not failed of late.
+func (r *Router) anyHolder(list []view.Host) view.Host {
+	if len(list) == 0 {
 		return view.Host{}
 	}
-	return srv.holders[r.opts.Rand.IntN(len(srv.holders))]
+	first := r.opts.Rand.IntN(len(list))
+	for i := range list {
+		h := list[(first+i)%len(list)]
+		if m := r.fleet.byID[h.ID]; m != nil && m.avoidUntil <= r.last {
+			return h
+		}
+	}
+	return list[first]
+}
+
+// avoidFor is how long a holder that could not be reached is avoided.
+const avoidFor = 2 * time.Second
+
+// HolderFailed records that a call through the host failed on the way.
+func (r *Router) HolderFailed(now time.Time, id string) {
+	at := r.at(now)
+	if m := r.fleet.byID[id]; m != nil {
+		m.avoidUntil = at + avoidFor
+	}
 }
 
 // findHolders returns the established hosts that come first in sharing srv.
