--- a/command/history_test.go
+++ b/command/history_test.go
@@ -114,13 +114,10 @@
 // verify checks the history of all tickets against what the backend servers
 // recorded.
 func (w *world) verify() error {
-	var faults []error
+	faults := w.faults
 	for i := range w.tickets {
 		faults = append(faults, w.verifyTicket(i))
 	}
-	if len(w.late) > 0 {
-		faults = append(faults, fmt.Errorf("written after the deadline: %v", w.late))
-	}
 	for _, h := range w.hosts {
 		if s := h.engine.Stats(); s.Tickets+s.Claims+s.Running+s.Waiting+s.HeldBytes > 0 {
 			faults = append(faults, fmt.Errorf("%s still holds %+v", h.id, s))
--- a/command/world_test.go
+++ b/command/world_test.go
@@ -45,7 +45,9 @@
 	tickets []*ticket
 	ops     []*op
 	runs    []execution
-	late    []string
+	faults  []error
+	// crossed is an answer of a peer to some earlier command.
+	crossed command.Finish
 	calls   leafcall.ID
 }
 
@@ -253,10 +255,13 @@
 		w.forward(h, f)
 	}
 	for _, f := range acts.Finish {
-		if reply := h.routes[f.Run]; reply != nil {
-			delete(h.routes, f.Run)
-			reply(f)
+		reply := h.routes[f.Run]
+		if reply == nil {
+			w.faults = append(w.faults, fmt.Errorf("%s: run %d finished twice", h.id, f.Run))
+			continue
 		}
+		delete(h.routes, f.Run)
+		reply(f)
 	}
 }
 
@@ -271,7 +276,7 @@
 		return
 	}
 	if !w.now.Before(s.Deadline) {
-		w.late = append(w.late, s.RequestID)
+		w.faults = append(w.faults, fmt.Errorf("%s: written after the deadline", s.RequestID))
 	}
 	reply(max(s.Deadline.Sub(w.now), 0), leafcall.Result{Status: leafcall.Timeout, Sent: true})
 	broken := leafcall.Result{Status: leafcall.Broken, Sent: !w.planted.lyingCarrier}
@@ -302,7 +307,7 @@
 }
 
 // forward carries a command to the process in the place of its minter. The
-// message may be lost, held up or doubled, and so may the answer.
+// message may be lost, held up or doubled; the answer lost or crossed.
 func (w *world) forward(h *host, f command.Forward) {
 	left := f.Request.Deadline.Sub(w.now)
 	answer := func(d time.Duration, r command.Finish) {
@@ -331,9 +336,13 @@
 			req := f.Request
 			req.Deadline = w.now.Add(left)
 			w.begin(peer, req, func(r command.Finish) {
+				if w.chance(0.05) {
+					answer(w.upTo(slowest), w.crossed)
+				}
 				if !w.chance(0.1) {
 					answer(w.upTo(slowest), r)
 				}
+				w.crossed = r
 			})
 		})
 	}
