--- a/control/relay.go
+++ b/control/relay.go
@@ -15,8 +15,11 @@
 	watchersPerCentre = 2
 	// fanOut is how many hosts of its data centre follow one host.
 	fanOut = 8
-	// holdFor is how long a peer may hold a follower's question.
-	holdFor = 500 * time.Millisecond
+	// holdFor is how long a peer may hold a follower's question; a newer word
+	// from the platform by relayStep ends that too, so that it passes down the
+	// tree without waiting at each host.
+	holdFor   = 700 * time.Millisecond
+	relayStep = 300 * time.Millisecond
 	// askTimeout is how long an answer may take beyond the hold.
 	askTimeout = 700 * time.Millisecond
 	// leastPause is the least time between two questions to one peer.
@@ -24,8 +27,10 @@
 	// repairEvery is how often a random peer is asked besides.
 	repairEvery = 5 * time.Second
 	// searchEvery is how often a random peer is asked while the host is fresh
-	// or hears no platform.
+	// or hears nothing of the platform; one time in anyoneOf it may be one
+	// that did not answer lately.
 	searchEvery = 250 * time.Millisecond
+	anyoneOf    = 8
 	// fullEvery is the least time between two questions for a whole digest.
 	fullEvery = 2 * time.Second
 	// maxHeld bounds the questions held at once; more are answered at once.
@@ -45,9 +50,9 @@
 	// leaderFree is when the leader may be asked again.
 	leaderFree time.Time
 	leaderBusy bool
-	// nextRandom is when a random peer is asked, and nextFull when a whole
+	// lastRandom is when a random peer was asked, and nextFull when a whole
 	// digest may be.
-	nextRandom time.Time
+	lastRandom time.Time
 	nextFull   time.Time
 	held       []held
 	// seed is the next seed to ask, and turn the next part of the members.
@@ -69,6 +74,8 @@
 	ask   Ask
 	since time.Time
 	until time.Time
+	// confirmed is when the platform was last heard when the question came.
+	confirmed time.Time
 }
 
 func newRelay() relay { return relay{asks: make(map[uint64]*asked)} }
@@ -164,10 +171,10 @@
 		r.leaderFree = now.Add(leastPause)
 		s.send(now, asked{to: r.leader, leader: true}, s.hold(now))
 	}
-	if now.Before(r.nextRandom) {
+	if now.Sub(r.lastRandom) < s.randomPause(now) {
 		return
 	}
-	r.nextRandom = now.Add(s.randomPause(now))
+	r.lastRandom = now
 	if h, ok := s.randomPeer(now); ok {
 		s.ask(now, h)
 	}
@@ -184,36 +191,53 @@
 }
 
 func (s *State) randomPause(now time.Time) time.Duration {
-	if !s.fresh.done || s.Deaf(now) {
+	if !s.fresh.done || now.Sub(s.confirmed) > lateAfter {
 		return searchEvery
 	}
 	return repairEvery
 }
 
-// randomPeer returns any other host: a fresh host's choice is one that it has
-// not heard, or a seed while it knows of none.
+// randomPeer returns another host, mostly one that answers: a fresh host's
+// choice is one that it has not heard, or a seed while it knows of none.
 func (s *State) randomPeer(now time.Time) (view.Host, bool) {
-	var all, unheard []view.Host
+	var all, up, unheard []view.Host
 	for _, h := range s.hosts {
 		if h.ID == s.members.self.ID {
 			continue
 		}
 		all = append(all, h)
-		if !s.fresh.answered[h.ID] && !s.down(now, h.ID) {
+		if s.down(now, h.ID) {
+			continue
+		}
+		up = append(up, h)
+		if !s.fresh.answered[h.ID] {
 			unheard = append(unheard, h)
 		}
 	}
-	seeds := s.opts.Seeds
+	if len(all) == 0 {
+		return s.nextSeed()
+	}
+	if s.opts.Rand.IntN(anyoneOf) == 0 {
+		return s.sample(all), true
+	}
 	switch {
-	case len(all) == 0 && len(seeds) > 0:
-		s.relay.seed++
-		return view.Host{Address: seeds[s.relay.seed%len(seeds)]}, true
-	case len(all) == 0:
-		return view.Host{}, false
 	case !s.fresh.done && len(unheard) > 0:
-		return unheard[s.opts.Rand.IntN(len(unheard))], true
+		return s.sample(unheard), true
+	case len(up) > 0:
+		return s.sample(up), true
+	}
+	return s.sample(all), true
+}
+
+func (s *State) sample(list []view.Host) view.Host { return list[s.opts.Rand.IntN(len(list))] }
+
+func (s *State) nextSeed() (view.Host, bool) {
+	seeds := s.opts.Seeds
+	if len(seeds) == 0 {
+		return view.Host{}, false
 	}
-	return all[s.opts.Rand.IntN(len(all))], true
+	s.relay.seed++
+	return view.Host{Address: seeds[s.relay.seed%len(seeds)]}, true
 }
 
 // ask sends a question that is to be answered at once.
@@ -377,7 +401,7 @@
 		until = now
 	}
 	s.askBack(now, in)
-	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until})
+	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until, confirmed: s.confirmed})
 }
 
 // askBack asks the asker when it may hold something that this host lacks.
@@ -400,7 +424,8 @@
 func (s *State) replyDue(now time.Time) {
 	kept := s.relay.held[:0]
 	for _, h := range s.relay.held {
-		if now.Before(h.until) && !s.lacks(&h.ask) {
+		fresher := s.confirmed.Sub(h.confirmed) >= relayStep
+		if now.Before(h.until) && !fresher && !s.lacks(&h.ask) {
 			kept = append(kept, h)
 			continue
 		}
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -39,6 +39,8 @@
 
 	// The platform: revision n is the state after the first n changes.
 	changes  []platform.Event
+	changed  []time.Time
+	readable []time.Time // when a change could be read at the latest
 	down     bool
 	deafTo   map[string]bool // hosts that cannot reach the platform
 	staleFor map[string]int  // hosts that read an old revision
@@ -68,10 +70,10 @@
 	ask uint64
 }
 
-// observed is one moment at which a host put a document in force.
+// observed is a document that a host put in force, one after the other.
 type observed struct {
 	host string
-	at   time.Time
+	born time.Time
 	doc  *document.Service
 }
 
@@ -143,6 +145,8 @@
 func (w *world) stamp() int64 {
 	last := len(w.changes) - 1
 	kv := &w.changes[last].Kv
+	w.changed = append(w.changed, w.now)
+	w.readable = append(w.readable, w.now)
 	kv.ModRevision = platform.Int64(last + 1)
 	kv.CreateRevision = kv.ModRevision
 	for _, e := range w.changes[:last] {
@@ -236,17 +240,17 @@
 func (w *world) observe(n *node, v *view.View) {
 	for name, doc := range v.Services {
 		if n.view == nil || n.view.Services[name] != doc {
-			w.events = append(w.events, observed{n.id, w.now, doc})
+			w.events = append(w.events, observed{n.id, n.born, doc})
 		}
 	}
 	n.view = v
 }
 
-func (w *world) readable(n *node) bool { return !w.down && !w.deafTo[n.id] }
+func (w *world) reaches(n *node) bool { return !w.down && !w.deafTo[n.id] }
 
 func (w *world) watchFor(n *node) {
 	from, ok := n.state.Watching(w.now)
-	if !ok || !w.readable(n) {
+	if !ok || !w.reaches(n) {
 		n.watch = -1
 		return
 	}
@@ -263,7 +267,7 @@
 func (w *world) callPlatform(n *node, read bool) {
 	w.calls++
 	state, asked := n.state, w.now
-	if !w.readable(n) {
+	if !w.reaches(n) {
 		w.after(CheckTimeout, n.id, func(n *node) {
 			if n.state == state {
 				state.PlatformFailed()
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -114,26 +114,32 @@
 	}
 }
 
-// TestPausedHostIsNotTrusted wakes a host late, with answers waiting that
-// were fresh when they were sent.
+// TestPausedHostIsNotTrusted wakes hosts late, with answers waiting that were
+// fresh when they were sent.
 func TestPausedHostIsNotTrusted(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(4)
-	w.fleet(3, 3)
-	w.publish("a", 1, "x")
-	w.run(4 * time.Second)
-	n := w.nodes["h0-0"]
-	for i := range 10 {
-		n.paused = w.now.Add(6 * time.Second)
-		w.publish("a", 2+i, "x", "dc-1")
-		w.run(6 * time.Second)
-		is.True(!n.view.Valid(w.now)) // at waking
-		w.run(4*time.Second, func() {
-			if n.view.Valid(w.now) {
-				is.Equal(n.inForce("a"), fmt.Sprintf("%d-x", 2+i))
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("platform down before %v", down), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(4)
+			w.fleet(3, 3)
+			w.publish("a", 1, "x")
+			w.run(4 * time.Second)
+			for i, id := range w.ids {
+				w.down = down
+				w.run(4 * time.Second)
+				n := w.nodes[id]
+				n.paused = w.now.Add(12 * time.Second)
+				w.run(2 * time.Second) // what was asked is answered
+				w.down = false
+				w.publish("a", 2+i, "x", "dc-1")
+				w.run(10 * time.Second)
+				is.True(!n.view.Valid(w.now)) // at waking
+				w.run(4*time.Second, func() {
+					is.True(!n.view.Valid(w.now) || n.inForce("a") == fmt.Sprintf("%d-x", 2+i))
+				})
+				is.Equal(w.valid(), 9)
 			}
 		})
-		is.Equal(w.valid(), 9)
 	}
 }
 
@@ -173,6 +179,15 @@
 		"one version twice":   func(w *world) { w.publish("a", 5, "first"); w.publish("a", 5, "second") },
 		"lower version later": func(w *world) { w.publish("a", 5, "first"); w.publish("a", 4, "second") },
 		"bad document":        func(w *world) { w.publish("a", 5, "first"); w.put(platform.PrefixServices+"a", []byte("no: [")) },
+		"removed and published anew unseen": func(w *world) {
+			w.publish("a", 9, "x")
+			w.run(2 * time.Second)
+			w.down = true
+			w.del(platform.PrefixServices + "a")
+			w.publish("a", 5, "first")
+			w.run(2 * time.Second)
+			w.down = false
+		},
 		"removed and published anew": func(w *world) {
 			w.publish("a", 9, "x")
 			w.del(platform.PrefixServices + "a")
@@ -234,9 +249,14 @@
 	w.nodes["h0-0"].paused = w.now.Add(20 * time.Second)
 	w.del(platform.PrefixServices + "b")
 	w.run(4 * time.Second)
-	w.staleFor["h1-1"] = int(old)
-	w.start("h1-1", "dc-1")
-	w.run(10*time.Second, func() { is.Equal(w.nodes["h2-0"].inForce("b"), "") })
+	for _, id := range []string{"h1-0", "h1-1", "h1-2"} {
+		w.staleFor[id] = int(old)
+		w.deafTo[id] = true
+		w.start(id, "dc-1").state.opts.Seeds = []string{address("h2-0")} // hears of the removal first
+		w.run(2 * time.Second)
+		delete(w.deafTo, id)
+	}
+	w.run(4*time.Second, func() { is.Equal(w.nodes["h2-0"].inForce("b"), "") })
 	is.Equal(w.nodes["h1-1"].inForce("a"), "1-x")
 	w.run(10 * time.Second)
 	is.Equal(w.everyone("b"), "")
@@ -257,6 +277,22 @@
 	is.Equal(w.valid(), 9)
 }
 
+// TestStalePlatformConfirmsNothing leaves a host with a platform that answers
+// from before what the host holds.
+func TestStalePlatformConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(13)
+	w.fleet(3, 3)
+	old := w.publish("a", 1, "x")
+	w.publish("a", 2, "x", "dc-1")
+	w.run(4 * time.Second)
+	w.split("h0-0")
+	w.staleFor["h0-0"] = int(old)
+	w.run(MaxViewAge)
+	is.True(!w.nodes["h0-0"].view.Valid(w.now))
+	is.Equal(w.valid(), 8)
+}
+
 func TestWatchersFail(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(10)
@@ -276,6 +312,35 @@
 	w.run(3*time.Second, func() { least = min(least, w.valid()) })
 	is.Equal(w.everyone("a"), "2-x")
 	is.Equal(least, 14)
+	t.Run("others watch in their place", func(t *testing.T) {
+		is := is.New(t)
+		w.run(5 * time.Second)
+		calls := w.calls
+		w.run(10 * time.Second)
+		is.True(w.calls-calls <= 2*2*watchersPerCentre*10) // two checks a second each
+	})
+}
+
+// TestWatchersLoseThePlatform leaves a data centre on its own whose watchers
+// live but cannot read the platform.
+func TestWatchersLoseThePlatform(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(14)
+	w.fleet(2, 8)
+	w.publish("a", 1, "x")
+	w.run(4 * time.Second)
+	for _, id := range w.ids {
+		if n := w.nodes[id]; n.dc == "dc-0" && n.state.watches(w.now) {
+			w.deafTo[id] = true
+		}
+	}
+	w.split(w.ids[:8]...)
+	least := 16
+	w.run(10*time.Second, func() { least = min(least, w.valid()) })
+	is.Equal(least, 16)
+	w.publish("a", 2, "x")
+	w.run(3 * time.Second)
+	is.Equal(w.everyone("a"), "2-x")
 }
 
 func TestLeavingHostIsNotCounted(t *testing.T) {
@@ -285,7 +350,7 @@
 	w.publish("a", 1, "x")
 	w.run(4 * time.Second)
 	w.nodes["h0-0"].state.Leave(w.now)
-	w.run(2 * time.Second)
+	w.run(50 * time.Millisecond)
 	for _, id := range w.ids {
 		is.Equal(w.nodes[id].view.Live(), 8)
 	}
