--- a/e2e/daemon_test.go
+++ b/e2e/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -110,6 +111,9 @@
 	working.Wait()
 	is.True(answered.Load() > before) // it answered while it drained
 	is.Equal(h.exitCode(t), 0)
+	for line := range strings.Lines(h.log.String()) {
+		is.True(json.Valid([]byte(line)))
+	}
 }
 
 func TestSecondSignalEndsAtOnce(t *testing.T) {
