Status tells which servers the policy takes to be cold, and what is running

It had only told which servers said so themselves; their word lags or misleads. Operators' requests have read and write timeouts; a failed listener ends the host, by a test.

--- a/cmd/figmast/ops_test.go
+++ b/cmd/figmast/ops_test.go
@@ -53,16 +53,25 @@
 	is.NoErr(err)
 	t.Cleanup(func() { is.NoErr(f.Stop(context.Background())) })
 	f.Publish(sample.Published{Version: 1, Snapshot: "monday"})
+	waitVersion(t, f, 1)
+	return f
+}
+
+// waitVersion waits until all hosts are ready and have the version in force.
+func waitVersion(t *testing.T, f *fleet.Fleet, version uint64) {
+	t.Helper()
 	for _, h := range f.Hosts {
-		for {
+		has := func() bool {
 			var s daemon.Status
-			if get(context.Background(), "http://"+h.OpsListen+"/v1/status", &s) == nil && len(s.Services) == 1 && len(s.Hosts) == 2 {
-				break
+			err := get(context.Background(), "http://"+h.OpsListen+"/v1/status", &s)
+			return err == nil && s.Ready && len(s.Hosts) == 2 && len(s.Services) == 1 && s.Services[0].Version >= version
+		}
+		for end := time.Now().Add(20 * time.Second); !has(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("%s has not got version %d", h.Host, version)
 			}
-			time.Sleep(5 * time.Millisecond)
 		}
 	}
-	return f
 }
 
 func TestOperatorsCommand(t *testing.T) {
@@ -152,6 +161,22 @@
 		is.NoErr(err)
 		has(t, out, "TIME (UTC)", "request_ended")
 	})
+	t.Run("status of a data centre that went and came back", func(t *testing.T) {
+		is := is.New(t)
+		f.Publish(sample.Published{Version: 2, Snapshot: "monday", DataCentresOut: []string{"ph-mobile"}})
+		waitVersion(t, f, 2)
+		out, err := invoke(t, "status", "--ops", ops)
+		is.NoErr(err)
+		has(t, out, "ph-mobile")
+		f.Publish(sample.Published{Version: 3, Snapshot: "monday"})
+		waitVersion(t, f, 3)
+		out, err = invoke(t, "status", "--ops", ops)
+		is.NoErr(err)
+		has(t, out, "COLD SERVICE", "route-app-1-l1-s2")
+		out, err = invoke(t, "timeline", "--ops", ops, "--service", "route-app-1", "--limit", "50000")
+		is.NoErr(err)
+		has(t, out, "config_accepted")
+	})
 }
 
 func commandsIn(list []fake.Execution) []fake.Execution {
--- a/cmd/figmast/status.go
+++ b/cmd/figmast/status.go
@@ -76,16 +76,16 @@
 	for _, r := range replies {
 		s := r.value
 		if r.err != nil {
-			rows = append(rows, fmt.Sprintf("?\t?\t%s\tno answer: %v\t\t", r.address, r.err))
+			rows = append(rows, fmt.Sprintf("?\t?\t%s\tno answer: %v\t\t\t", r.address, r.err))
 			continue
 		}
 		state := "ready"
 		if !s.Ready {
 			state = "not ready: " + s.Unready
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d ms\t%d", s.Host, s.DataCentre, r.address, state, s.AgeMs, len(s.Hosts)))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d ms\t%d\t%d", s.Host, s.DataCentre, r.address, state, s.AgeMs, len(s.Hosts), s.Queries+s.Commands))
 	}
-	out.table("HOST\tDATA CENTRE\tOPS\tSTATE\tVIEW AGE\tHOSTS KNOWN", rows)
+	out.table("HOST\tDATA CENTRE\tOPS\tSTATE\tVIEW AGE\tHOSTS KNOWN\tRUNNING", rows)
 }
 
 // printServices prints one row for each document in force; hosts that differ
@@ -112,16 +112,26 @@
 	}
 }
 
+// printCold prints each cold server once, with the hosts that take it for
+// cold.
 func printCold(out *printer, replies []reply[daemon.Status]) {
 	var rows []string
+	hosts := make(map[string][]string)
 	for _, r := range replies {
 		for _, c := range r.value.Cold {
-			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d ms ago", c.Service, c.Server, r.value.Host, c.AgoMs))
+			row := fmt.Sprintf("%s\t%s\t%s\t%s\t%d", c.Service, c.Leaf, c.Server, c.DataCentre, c.Level)
+			if hosts[row] == nil {
+				rows = append(rows, row)
+			}
+			hosts[row] = append(hosts[row], r.value.Host)
 		}
 	}
+	for i, row := range rows {
+		rows[i] = row + "\t" + strings.Join(hosts[row], ",")
+	}
 	if len(rows) > 0 {
 		out.printf("")
-		out.table("COLD: SERVICE\tSERVER\tSEEN BY\tLAST", rows)
+		out.table("COLD SERVICE\tLEAF\tSERVER\tDATA CENTRE\tBEARS\tSEEN BY", rows)
 	}
 }
 
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -99,11 +99,12 @@
 		Host: s.Host, Backend: h.runner, View: h.control.View, Clock: clock.Now,
 		Draining: h.draining.Load, Log: logger, Metrics: set,
 	}))
-	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, cold: &rec.cold}
+	o := &ops{settings: s, view: h.control.View, events: events, draining: &h.draining, set: set, report: h.runner.Report}
 	o.gauges()
 	set.NewGauge("figmast_backend_connections", func() float64 { open, _ := h.pool.Connections(); return float64(open) })
 	set.NewGauge("figmast_backend_connections_allowed", func() float64 { _, allowed := h.pool.Connections(); return float64(allowed) })
 	h.ops = h.newServer(o.handler())
+	h.ops.ReadTimeout, h.ops.WriteTimeout = opsReadTimeout, opsWriteTimeout
 	return h, nil
 }
 
@@ -112,6 +113,9 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 16 << 10
+	// Operators' requests have no bodies; package api bounds callers' ones.
+	opsReadTimeout  = 10 * time.Second
+	opsWriteTimeout = 30 * time.Second
 )
 
 func (h *Host) newServer(handler http.Handler) *http.Server {
@@ -145,20 +149,22 @@
 	return nil
 }
 
-// listen serves until the server is closed; a listener that fails ends the
-// host.
 func (h *Host) listen(s *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	go func() {
-		err := s.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return
-		}
-		h.log.Error("listener failed", "step", "accept", "address", address, "err", err)
-		_ = h.shutdown.Shutdown(fx.ExitCode(1))
-	}()
+	go h.serve(s, l)
 	return nil
 }
+
+// serve serves until the server is closed; a listener that fails ends the
+// host.
+func (h *Host) serve(s *http.Server, l net.Listener) {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	h.log.Error("listener failed", "step", "accept", "address", l.Addr(), "err", err)
+	_ = h.shutdown.Shutdown(fx.ExitCode(1))
+}
--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -16,6 +16,7 @@
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/timeline"
+	"github.com/figmast/figmast/traffic"
 	"github.com/figmast/figmast/view"
 )
 
@@ -33,7 +34,7 @@
 	events   *timeline.Ring
 	draining *atomic.Bool
 	set      *metrics.Set
-	cold     *coldServers
+	report   func() traffic.Report
 }
 
 func (o *ops) handler() http.Handler {
@@ -66,7 +67,10 @@
 		return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Services)) })
 	})
 	o.set.NewGauge("figmast_view_age_seconds", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return age(v).Seconds() }) })
-	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.cold.list(time.Now()))) })
+	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.report().Cold)) })
+	o.set.NewGauge("figmast_queries_in_progress", func() float64 { return float64(o.report().Queries) })
+	o.set.NewGauge("figmast_commands_in_progress", func() float64 { return float64(o.report().Commands) })
+	o.set.NewGauge("figmast_leaf_calls_in_progress", func() float64 { return float64(o.report().Calls) })
 }
 
 func ofView(v *view.View, f func(*view.View) float64) float64 {
--- a/daemon/recorder.go
+++ b/daemon/recorder.go
@@ -35,7 +35,6 @@
 	coldCalls *metrics.Counter
 	services  sync.Map // of string to *serviceMetrics
 	decisions sync.Map // of decision.Kind to *metrics.Counter
-	cold      coldServers
 }
 
 // callStatuses names leafcall.Status for metrics and events.
@@ -130,7 +129,6 @@
 	m.add(took)
 	if res.Cold {
 		r.coldCalls.Inc()
-		r.cold.saw(s.Server.Service, s.Server.ID, time.Now())
 	}
 	if res.Status == leafcall.OK && !res.Cold && !r.noteworthy(s.Server.Service, took) {
 		return
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -1,11 +1,15 @@
 package daemon
 
 import (
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
+	"go.uber.org/fx"
 
 	"github.com/figmast/figmast/internal/certs"
 )
@@ -104,3 +108,25 @@
 	}
 	is.Equal(s.oneIn(), 1)
 }
+
+// planned records that the host asked for its own shutdown.
+type planned struct{ options []fx.ShutdownOption }
+
+func (p *planned) Shutdown(options ...fx.ShutdownOption) error {
+	p.options = options
+	return nil
+}
+
+func TestFailedListenerEndsTheHost(t *testing.T) {
+	is := is.New(t)
+	h, err := newHost(valid(t), log.New(io.Discard))
+	is.NoErr(err)
+	defer h.pool.Close()
+	p := &planned{}
+	h.shutdown = p
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	h.serve(h.callers, l)
+	is.Equal(len(p.options), 1) // with an exit code
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/view"
@@ -21,8 +20,12 @@
 	// Peers are those hosts with their places.
 	Peers    []HostStatus    `json:"peers"`
 	Services []ServiceStatus `json:"services"`
-	// Cold are backend servers in cold start, as far as this host saw.
+	// Cold are backend servers that this host takes to be in cold start.
 	Cold []ColdServer `json:"cold,omitempty"`
+	// Queries and Commands are in progress, as are Calls to backend servers.
+	Queries  int `json:"queries"`
+	Commands int `json:"commands"`
+	Calls    int `json:"calls"`
 	// AgeMs is how long ago the view was confirmed, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
 	// ValidMs is how long work may still be dispatched on the view if nothing
@@ -30,6 +33,18 @@
 	ValidMs int64 `json:"valid_ms"`
 }
 
+// ColdServer is a backend server in cold start.
+type ColdServer struct {
+	Service    string `json:"service"`
+	Leaf       string `json:"leaf"`
+	Server     string `json:"server"`
+	DataCentre string `json:"data_centre"`
+	// Level is how many calls at once it is taken to bear from all hosts.
+	Level int `json:"level"`
+	// ForMs is how long it has been at that level, in milliseconds.
+	ForMs int64 `json:"for_ms"`
+}
+
 // HostStatus is a host as another one knows it.
 type HostStatus struct {
 	ID         string `json:"id"`
@@ -52,9 +67,15 @@
 
 func (o *ops) status(w http.ResponseWriter, _ *http.Request) {
 	why := o.unready()
+	r := o.report()
 	s := Status{
 		Host: o.settings.Host, DataCentre: o.settings.DataCentre, Draining: o.draining.Load(),
-		Ready: why == "", Unready: why, Cold: o.cold.list(time.Now()),
+		Ready: why == "", Unready: why, Queries: r.Queries, Commands: r.Commands, Calls: r.Calls,
+	}
+	for _, c := range r.Cold {
+		s.Cold = append(s.Cold, ColdServer{
+			Service: c.Service, Leaf: c.Leaf, Server: c.ID, DataCentre: c.DataCentre, Level: c.Level, ForMs: c.For.Milliseconds(),
+		})
 	}
 	if v := o.view(); v != nil {
 		fillStatus(&s, v)
