Documents are decoded by their own package, once

The check of the tree against the types and the library's decoder walked it twice. One walk now does both.

--- a/document/parse.go
+++ b/document/parse.go
@@ -78,20 +78,16 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &schemaCheck{faults: faults, lines: make(map[string]int)}
-	c.node(root, reflect.TypeFor[Service](), "")
+	s = defaults()
+	d := &decoder{faults: faults, lines: make(map[string]int)}
+	d.node(root, reflect.ValueOf(s).Elem(), "")
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
-	s = defaults()
-	if err := yaml.NewDecoder(strings.NewReader(""), yaml.Strict()).DecodeFromNode(root, s); err != nil {
-		faults.add("document: %s", firstLine(err))
-		return nil, faults
-	}
-	checkExplicit(s, c.lines, faults)
+	checkExplicit(s, d.lines, faults)
 	s.fill()
 	s.check(faults)
-	faults.locate(c.lines)
+	faults.locate(d.lines)
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
