--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -15,6 +15,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/peer"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
 	"github.com/figmast/figmast/view"
@@ -35,6 +36,8 @@
 	draining *atomic.Bool
 	set      *metrics.Set
 	report   func() traffic.Report
+	// peers returns the traffic with other hosts so far.
+	peers func() peer.Stats
 }
 
 func (o *ops) handler() http.Handler {
@@ -71,6 +74,9 @@
 	o.set.NewGauge("figmast_queries_in_progress", func() float64 { return float64(o.report().Queries) })
 	o.set.NewGauge("figmast_commands_in_progress", func() float64 { return float64(o.report().Commands) })
 	o.set.NewGauge("figmast_leaf_calls_in_progress", func() float64 { return float64(o.report().Calls) })
+	o.set.NewGauge("figmast_peer_sent_bytes", func() float64 { return float64(o.peers().Sent) })
+	o.set.NewGauge("figmast_peer_received_bytes", func() float64 { return float64(o.peers().Received) })
+	o.set.NewGauge("figmast_peer_connections", func() float64 { return float64(o.peers().Connections) })
 }
 
 func ofView(v *view.View, f func(*view.View) float64) float64 {
