--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -17,6 +17,7 @@
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/peer"
 	"github.com/figmast/figmast/timeline"
+	"github.com/figmast/figmast/traffic"
 	"github.com/figmast/figmast/view"
 )
 
@@ -34,7 +35,7 @@
 	events   *timeline.Ring
 	draining *atomic.Bool
 	set      *metrics.Set
-	cold     *coldServers
+	report   func() traffic.Report
 	// peers returns the traffic with other hosts so far.
 	peers func() peer.Stats
 }
@@ -69,10 +70,13 @@
 		return ofView(o.view(), func(v *view.View) float64 { return float64(len(v.Services)) })
 	})
 	o.set.NewGauge("figmast_view_age_seconds", func() float64 { return ofView(o.view(), func(v *view.View) float64 { return age(v).Seconds() }) })
+	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.report().Cold)) })
+	o.set.NewGauge("figmast_queries_in_progress", func() float64 { return float64(o.report().Queries) })
+	o.set.NewGauge("figmast_commands_in_progress", func() float64 { return float64(o.report().Commands) })
+	o.set.NewGauge("figmast_leaf_calls_in_progress", func() float64 { return float64(o.report().Calls) })
 	o.set.NewGauge("figmast_peer_sent_bytes", func() float64 { return float64(o.peers().Sent) })
 	o.set.NewGauge("figmast_peer_received_bytes", func() float64 { return float64(o.peers().Received) })
 	o.set.NewGauge("figmast_peer_connections", func() float64 { return float64(o.peers().Connections) })
-	o.set.NewGauge("figmast_cold_servers", func() float64 { return float64(len(o.cold.list(time.Now()))) })
 }
 
 func ofView(v *view.View, f func(*view.View) float64) float64 {
