--- a/query/part.go
+++ b/query/part.go
@@ -154,6 +154,7 @@
 		p.shut()
 	case p.running() > 0:
 	case res.Status == leafcall.SnapshotGone:
+		p.tries--
 		p.elsewhere(now)
 	default:
 		p.retry(now, res)
@@ -162,6 +163,9 @@
 
 func (p *part) retry(now time.Time, res leafcall.Result) {
 	why := failure(res)
+	if res.Status == leafcall.NotSent {
+		p.tries-- // no backend server did any work
+	}
 	if reason := p.mayRetry(now, res); reason != "" {
 		p.run.engine.decide(p.run, decision.NoRetry, p, reason)
 		p.fail(now, policy.Reason(why))
--- a/query/service.go
+++ b/query/service.go
@@ -30,6 +30,9 @@
 	turn    turn
 	// marks counts those of all leaves.
 	marks int
+	// newest is the newest snapshot published, and newestSince its age.
+	newest      string
+	newestSince time.Time
 
 	typical  time.Duration // mean duration of an answered query
 	measured time.Time
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -15,6 +15,12 @@
 	goneFor = 500 * time.Millisecond
 	// maxRestarts bounds how often a query starts again on another snapshot.
 	maxRestarts = 2
+	// mostServers is the share of each leaf's servers that must not be known to
+	// lack a snapshot; halfServers holds once it is older than loading, so that
+	// one server that never loads it holds nothing back for good.
+	mostServers = 0.7
+	halfServers = 0.5
+	loading     = 10 * time.Second
 )
 
 // mark says that a server lacks a snapshot.
@@ -59,6 +65,9 @@
 // of every leaf may serve, and else the newest.
 func (s *service) choose(now time.Time, doc *document.Service) *document.Snapshot {
 	newest := len(doc.Snapshots) - 1
+	if id := doc.Snapshots[newest].ID; id != s.newest {
+		s.newest, s.newestSince = id, now
+	}
 	if s.marks > 0 {
 		for _, q := range s.leaves {
 			q.forget(now)
@@ -67,7 +76,11 @@
 	if s.marks == 0 {
 		return &doc.Snapshots[newest]
 	}
-	for _, least := range []float64{0.5, 0} {
+	most := mostServers
+	if now.Sub(s.newestSince) > loading {
+		most = halfServers
+	}
+	for _, least := range []float64{most, 0} {
 		for i := newest; i >= 0; i-- {
 			if s.served(doc, doc.Snapshots[i].ID, least) {
 				return &doc.Snapshots[i]
