--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -27,6 +27,9 @@
 // patience bounds every wait of a test for real processes.
 const patience = 20 * time.Second
 
+// raceEnvironment, when set, has the programs built with the race detector.
+const raceEnvironment = "FIGMAST_RACE"
+
 // binaries is where TestMain builds the programs.
 var binaries string
 
@@ -42,7 +45,11 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	args := []string{"build", "-o", dir}
+	if os.Getenv(raceEnvironment) != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/...")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		return 1
@@ -67,6 +74,9 @@
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			t.Error("a data race was found")
+		}
 		if t.Failed() {
 			t.Logf("%s %v\n%s", name, args, p.log.String())
 		}
