Cold start: a host that may be alone ramps by itself more slowly

Cause: each host doubled the level by its part of WarmAfter, as if all the others were sending too. With most hosts idle one host doubled on its own after a few calls: 4 at once where the server bore 2 (rapid, 1 busy host of 3, with the rule switched off). Where a doubling makes this host send more, it now waits for all of WarmAfter, and only answers at a full part count.

--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -36,7 +36,7 @@
 	state state
 	level int
 	// progress is the successes at a full part since the level was reached.
-	progress float64
+	progress int
 	// since is when the level was reached.
 	since time.Duration
 	// slow and sheds hold the last eight results, one bit each.
@@ -115,16 +115,27 @@
 		return
 	}
 	part := s.portionOf(w.level)
-	if part == 0 {
+	if part == 0 || busy < part {
 		return
 	}
-	w.progress += float64(min(busy, part)) / float64(part)
-	quota := float64(s.leaf.service.doc.ColdStart.WarmAfter*part) / float64(w.level)
-	if w.progress >= max(quota, 1) {
+	w.progress++
+	if w.progress >= w.quota(s, part) {
 		w.rise(at, s, x.saidCold)
 	}
 }
 
+// quota returns how many successes at a full part double the level: this
+// host's part of the document's number where other hosts will send more by
+// it, and all of it where this host itself will, since it does not know
+// whether the others send anything.
+func (w *warmth) quota(s *Server, part int) int {
+	all := s.leaf.service.doc.ColdStart.WarmAfter
+	if s.portionOf(2*w.level) > part {
+		return all
+	}
+	return max(all*part/w.level, 1)
+}
+
 // note records whether a result was slow against the peers.
 func (w *warmth) note(at time.Duration, s *Server, x sample) {
 	slow := x.latency > slowFactor*x.peers
--- a/policy/coldstart_test.go
+++ b/policy/coldstart_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/view"
@@ -47,6 +48,47 @@
 	}
 }
 
+// A cold server is filled by any of the hosts, in any order. It bears twice as
+// much after as much work as WarmAfter successes at all that it bears.
+func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 12).Draw(t, "hosts")
+		doc := shape{servers: 1, connections: 12 * hosts}.doc()
+		all := routers(hosts, 1, Options{}, doc)
+		var servers []*Server
+		for _, r := range all {
+			srv := r.server("svc", "leaf0", "s0-0")
+			srv.warmth.chill(r.last, srv)
+			servers = append(servers, srv)
+		}
+		// Some hosts are idle, the rest keep sending.
+		busy := rapid.SliceOfNDistinct(rapid.IntRange(0, hosts-1), 1, hosts, rapid.ID[int]).Draw(t, "busy")
+		bears, work, inside := document.DefaultAllowance, 0.0, 0
+		now := epoch
+		for range 2000 {
+			i := busy[rapid.IntRange(0, len(busy)-1).Draw(t, "host")]
+			r, srv := all[i], servers[i]
+			now = now.Add(time.Millisecond)
+			if rapid.Bool().Draw(t, "send") {
+				if srv.inFlight < r.bound(r.at(now), srv) {
+					r.Begin(now, srv)
+					inside++
+				}
+			} else if srv.inFlight > 0 {
+				work += min(float64(inside)/float64(bears), 1)
+				if work >= document.DefaultWarmAfter {
+					bears, work = 2*bears, 0
+				}
+				r.Done(now, srv, Observation{Latency: time.Millisecond})
+				inside--
+			}
+			if inside > bears+len(busy) {
+				t.Fatalf("%d calls at once from %d of %d hosts, the server bears %d", inside, len(busy), hosts, bears)
+			}
+		}
+	})
+}
+
 func TestSignsOfCold(t *testing.T) {
 	fine := Observation{Latency: 2 * time.Millisecond}
 	cases := []struct {
