Holders: each host spreads its calls over others of them

With 50 connections to a server all hosts chose the same 8 of its 50 holders, so 42 connections lay idle. Each now takes 8 evenly apart, from a start of its own.

--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/figmast/figmast/document"
 )
 
 // BenchmarkCall measures the decisions of one leaf call.
@@ -17,6 +19,19 @@
 			benchmarkCalls(b, r, leaves)
 		})
 	}
+	b.Run("leaves=3300/hosts=620", func(b *testing.B) {
+		hosts := hostList(620, 6)
+		r := newTestRouter(1, Options{})
+		r.Apply(epoch, viewOf(hosts[0], hosts, largest()))
+		b.ReportAllocs()
+		b.ResetTimer()
+		benchmarkCalls(b, r, 3300)
+	})
+}
+
+// largest is a service as large as all of them at the largest size.
+func largest() *document.Service {
+	return shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
 }
 
 func benchmarkCalls(b *testing.B, r *Router, leaves int) {
@@ -30,6 +45,7 @@
 		now = now.Add(50 * time.Microsecond)
 		srv, _ := r.Pick(now, p)
 		r.Begin(now, srv)
+		r.Holder(srv)
 		r.HedgeDelay(p.Service, p.Leaf)
 		r.Done(now, srv, Observation{Latency: time.Duration(1+i%5) * time.Millisecond, Fingerprint: p.Fingerprint})
 	}
@@ -37,7 +53,7 @@
 
 // BenchmarkFleetChange measures one host's coming at the largest size.
 func BenchmarkFleetChange(b *testing.B) {
-	doc := shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
+	doc := largest()
 	hosts := hostList(621, 6)
 	views := []int{620, 621}
 	r := newTestRouter(1, Options{})
@@ -50,8 +66,9 @@
 
 // BenchmarkFirstView measures a new host's first view at the largest size.
 func BenchmarkFirstView(b *testing.B) {
-	doc := shape{leaves: 3300, servers: 3, connections: 50, centres: 6}.doc()
+	doc := largest()
 	hosts := hostList(620, 6)
+	b.ReportAllocs()
 	for range b.N {
 		r := newTestRouter(1, Options{})
 		r.Apply(epoch, viewOf(hosts[0], hosts, doc))
--- a/policy/router.go
+++ b/policy/router.go
@@ -50,6 +50,8 @@
 	// leaves of all services, for passes over every server.
 	leaves []*leaf
 	fleet  *fleet
+	// selfHash is the hash of this host's ID.
+	selfHash uint64
 
 	// epoch counts the allotments worked out.
 	epoch uint64
@@ -117,6 +119,7 @@
 	at := r.at(now)
 	old := r.view
 	r.view = v
+	r.selfHash = xxhash.Sum64String(v.Self.ID)
 	r.applyHosts(at, v)
 	if old != nil && !old.Valid(now) {
 		r.returned(old)
--- a/policy/shares.go
+++ b/policy/shares.go
@@ -19,7 +19,7 @@
 	ceiling int
 	// holders are hosts that hold connections where this one holds none;
 	// they are valid for one epoch of the Router.
-	holders      []view.Host
+	holders      []*member
 	holdersEpoch uint64
 }
 
@@ -250,18 +250,17 @@
 
 // anyHolder returns one of the hosts at random, where possible one that has
 // not failed of late.
-func (r *Router) anyHolder(list []view.Host) view.Host {
+func (r *Router) anyHolder(list []*member) view.Host {
 	if len(list) == 0 {
 		return view.Host{}
 	}
 	first := r.opts.Rand.IntN(len(list))
 	for i := range list {
-		h := list[(first+i)%len(list)]
-		if m := r.fleet.byID[h.ID]; m != nil && m.avoidUntil <= r.last {
-			return h
+		if m := list[(first+i)%len(list)]; m.avoidUntil <= r.last {
+			return m.host
 		}
 	}
-	return list[first]
+	return list[first].host
 }
 
 // avoidFor is how long a holder that could not be reached is avoided.
@@ -275,28 +274,47 @@
 	}
 }
 
-// findHolders returns the established hosts that come first in sharing srv.
-func (r *Router) findHolders(srv *Server) []view.Host {
-	n := min(r.holderCount(srv), maxHolders)
-	var first []*member
-	for _, m := range r.fleet.members {
-		if m == r.fleet.self || !r.fleet.established(r.last, m) {
-			continue
-		}
-		i := len(first)
-		for i > 0 && precedes(m, first[i-1], srv) {
-			i--
+// findHolders returns some of the established hosts that come first in
+// sharing srv; each host spreads its calls over others of them.
+func (r *Router) findHolders(srv *Server) []*member {
+	n := r.holderCount(srv)
+	list := r.candidates(func(m *member) bool { return m.centre == srv.centre })
+	if len(list) < n {
+		list = r.candidates(func(*member) bool { return true })
+	}
+	slices.SortFunc(list, func(a, b *member) int {
+		if precedes(a, b, srv) {
+			return -1
 		}
-		if i < n {
-			first = slices.Insert(first, i, m)
-			first = first[:min(len(first), n)]
+		return 1
+	})
+	list = list[:min(len(list), n)]
+	if len(list) <= maxHolders {
+		return list
+	}
+	return spread(list, rendezvous(r.selfHash, srv.hash), maxHolders)
+}
+
+// candidates returns the established peers that want accepts.
+func (r *Router) candidates(want func(*member) bool) []*member {
+	var list []*member
+	for _, m := range r.fleet.members {
+		if m != r.fleet.self && want(m) && r.fleet.established(r.last, m) {
+			list = append(list, m)
 		}
 	}
-	hosts := make([]view.Host, len(first))
-	for i, m := range first {
-		hosts[i] = m.host
+	return list
+}
+
+// spread returns n members of the list, evenly apart from a start that the
+// hash gives.
+func spread(list []*member, hash uint64, n int) []*member {
+	out := make([]*member, n)
+	start := int(hash % uint64(len(list)))
+	for i := range out {
+		out[i] = list[(start+i*len(list)/n)%len(list)]
 	}
-	return hosts
+	return out
 }
 
 // holderCount returns how many hosts hold connections to srv.
--- a/policy/shares_test.go
+++ b/policy/shares_test.go
@@ -332,33 +332,42 @@
 }
 
 func TestManyHostsShareThroughHolders(t *testing.T) {
+	for reading, connections := range map[document.ConnectionReading]int{
+		document.ConnectionsOfLeaf:   50,
+		document.ConnectionsOfServer: 6 * 50,
+	} {
+		t.Run(string(reading), func(t *testing.T) {
+			doc := shape{servers: 6, connections: 50, centres: 6, edit: func(d *document.Service) { d.ConnectionsOf = reading }}.doc()
+			testHolders(t, routers(620, 6, Options{}, doc), connections)
+		})
+	}
+}
+
+func testHolders(t *testing.T, all []*Router, connections int) {
 	is := is.New(t)
-	doc := shape{leaves: 2, servers: 6, connections: 50, centres: 6, edit: func(d *document.Service) {
-		d.ConnectionsOf = document.ConnectionsOfLeaf
-	}}.doc()
-	all := routers(620, 6, Options{}, doc)
-	holds := make(map[string]map[string]bool)
-	total := 0
+	holds := make(map[[2]string]bool) // server and host
 	for _, r := range all {
 		for _, s := range r.Shares() {
-			if holds[s.Server.ID] == nil {
-				holds[s.Server.ID] = make(map[string]bool)
-			}
-			holds[s.Server.ID][r.View().Self.ID] = true
-			total += s.Connections
+			is.Equal(s.Connections, 1)
 			is.Equal(s.Server.DataCentre, r.View().Self.DataCentre) // holders stand beside the server
+			holds[[2]string{s.Server.ID, r.View().Self.ID}] = true
 		}
 	}
-	is.Equal(total, 100) // two leaves of 50
+	is.Equal(len(holds), connections)
+	asked := make(map[string]int)
 	for _, r := range all {
-		srv, reason := r.Pick(epoch, Pick{Service: "svc", Leaf: "leaf0"})
+		srv, reason := r.Pick(epoch, leaf0)
 		is.Equal(reason, Picked)
 		h := r.Holder(srv)
 		if h.ID == "" {
-			is.True(holds[srv.ID][r.View().Self.ID])
-			continue
+			h = r.View().Self
 		}
-		is.True(holds[srv.ID][h.ID])
+		is.True(holds[[2]string{srv.ID, h.ID}])
+		asked[h.ID]++
+	}
+	is.True(len(asked) > connections/2) // calls spread over the holders
+	for _, n := range asked {
+		is.True(n < 5*len(all)/connections)
 	}
 }
 
