--- a/control/state_test.go
+++ b/control/state_test.go
@@ -249,12 +249,14 @@
 	w.nodes["h0-0"].paused = w.now.Add(20 * time.Second)
 	w.del(platform.PrefixServices + "b")
 	w.run(4 * time.Second)
-	w.staleFor["h1-1"] = int(old)
-	w.deafTo["h1-1"] = true
-	w.start("h1-1", "dc-1")
-	w.run(2 * time.Second)
-	delete(w.deafTo, "h1-1")
-	w.run(10*time.Second, func() { is.Equal(w.nodes["h2-0"].inForce("b"), "") })
+	for _, id := range []string{"h1-0", "h1-1", "h1-2"} {
+		w.staleFor[id] = int(old)
+		w.deafTo[id] = true
+		w.start(id, "dc-1").state.opts.Seeds = []string{address("h2-0")} // hears of the removal first
+		w.run(2 * time.Second)
+		delete(w.deafTo, id)
+	}
+	w.run(4*time.Second, func() { is.Equal(w.nodes["h2-0"].inForce("b"), "") })
 	is.Equal(w.nodes["h1-1"].inForce("a"), "1-x")
 	w.run(10 * time.Second)
 	is.Equal(w.everyone("b"), "")
@@ -319,6 +321,28 @@
 	})
 }
 
+// TestWatchersLoseThePlatform leaves a data centre on its own whose watchers
+// live but cannot read the platform.
+func TestWatchersLoseThePlatform(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(14)
+	w.fleet(2, 8)
+	w.publish("a", 1, "x")
+	w.run(4 * time.Second)
+	for _, id := range w.ids {
+		if n := w.nodes[id]; n.dc == "dc-0" && n.state.watches(w.now) {
+			w.deafTo[id] = true
+		}
+	}
+	w.split(w.ids[:8]...)
+	least := 16
+	w.run(10*time.Second, func() { least = min(least, w.valid()) })
+	is.Equal(least, 16)
+	w.publish("a", 2, "x")
+	w.run(3 * time.Second)
+	is.Equal(w.everyone("a"), "2-x")
+}
+
 func TestLeavingHostIsNotCounted(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(11)
