--- a/api/api.go
+++ b/api/api.go
@@ -41,6 +41,9 @@
 	// BodyTimeout is how long a caller may take to send a body; 0 means
 	// DefaultBodyTimeout.
 	BodyTimeout time.Duration
+	// WriteTimeout is how long a caller may take to read an answer; 0 means
+	// DefaultWriteTimeout.
+	WriteTimeout time.Duration
 	// Log gets what is wrong with the host itself.
 	Log *log.Logger
 	// Metrics gets the handler's metrics.
@@ -54,6 +57,9 @@
 	if opts.BodyTimeout == 0 {
 		opts.BodyTimeout = DefaultBodyTimeout
 	}
+	if opts.WriteTimeout == 0 {
+		opts.WriteTimeout = DefaultWriteTimeout
+	}
 	s := &server{opts}
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/services/{service}/query", s.query).Methods(http.MethodPost)
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -25,14 +25,19 @@
 )
 
 // backend answers everything; operation "panic" panics.
-type backend struct{ query query.Request }
+type backend struct {
+	query query.Request
+	// size of an answer's result in bytes.
+	size int
+}
 
 func (b *backend) Query(_ context.Context, r query.Request) (*figmast.QueryAnswer, *figmast.Problem) {
 	if r.Operation == "panic" {
 		panic("planted")
 	}
 	b.query = r
-	return &figmast.QueryAnswer{RequestID: r.ID, Coverage: 1}, nil
+	result := json.RawMessage(`"` + strings.Repeat("x", b.size) + `"`)
+	return &figmast.QueryAnswer{RequestID: r.ID, Coverage: 1, Results: []figmast.LeafResult{{Leaf: "l", Result: result}}}, nil
 }
 
 func (b *backend) Command(_ context.Context, r command.Request) (*figmast.CommandAnswer, *figmast.Problem) {
@@ -45,7 +50,7 @@
 
 var started = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
-// bodyTimeout is short for TestSlowBody.
+// bodyTimeout is short for the tests of slow callers.
 const bodyTimeout = 200 * time.Millisecond
 
 func newHandler(b Backend, draining bool) http.Handler {
@@ -60,7 +65,7 @@
 	}}}}
 	return NewHandler(Options{
 		Host: "h", Backend: b, View: func() *view.View { return v }, Clock: func() time.Time { return started },
-		Draining: func() bool { return draining }, BodyTimeout: bodyTimeout, Log: log.New(io.Discard), Metrics: metrics.NewSet(),
+		Draining: func() bool { return draining }, BodyTimeout: bodyTimeout, WriteTimeout: bodyTimeout, Log: log.New(io.Discard), Metrics: metrics.NewSet(),
 	})
 }
 
@@ -197,6 +202,32 @@
 	is.True(bytes.HasPrefix(got, []byte("HTTP/1.1 408 ")))
 }
 
+// TestSlowReader checks that a caller who does not read its answer does not
+// hold the host.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewUnstartedServer(newHandler(&backend{size: 32 << 20}, false))
+	closed := make(chan struct{})
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			close(closed)
+		}
+	}
+	srv.Start()
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	body := `{"operation":"status"}`
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", queryPath, len(body), body)
+	is.NoErr(err)
+	select {
+	case <-closed:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the host still writes")
+	}
+}
+
 // FuzzBody checks that no body makes the handler crash, and that each is
 // answered or refused in a readable form.
 func FuzzBody(f *testing.F) {
--- a/api/decode.go
+++ b/api/decode.go
@@ -28,8 +28,8 @@
 	maxWorth        = 1e9
 	// DefaultBodyTimeout is how long a caller may take to send a body.
 	DefaultBodyTimeout = 5 * time.Second
-	// writeTimeout is how long a caller may take to read an answer.
-	writeTimeout = 10 * time.Second
+	// DefaultWriteTimeout is how long a caller may take to read an answer.
+	DefaultWriteTimeout = 10 * time.Second
 )
 
 // open reads the request id and the body.
--- a/api/respond.go
+++ b/api/respond.go
@@ -71,7 +71,7 @@
 		status = http.StatusInternalServerError
 		b = []byte(`{"type":"about:blank","title":"the answer cannot be encoded","status":500,"outcome":"unknown"}`)
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.WriteTimeout))
 	h := w.Header()
 	h.Set("Content-Type", contentType)
 	h.Set(figmast.HeaderHost, s.Host)
--- a/cmd/figmast/ops_test.go
+++ b/cmd/figmast/ops_test.go
@@ -133,6 +133,26 @@
 		has(t, out, "ran on")
 		is.Equal(len(commandsIn(f.Executions("")))-before, 1)
 	})
+	t.Run("explain over two hosts", func(t *testing.T) {
+		is := is.New(t)
+		base := func(i int) string { return "http://" + f.Hosts[i].CallerListen + "/v1/services/route-app-1" }
+		var ticket figmast.TicketAnswer
+		is.NoErr(post(context.Background(), base(0)+"/tickets", "", struct{}{}, &ticket))
+		req := figmast.CommandRequest{Operation: "book-visit", ShardKey: "yard-18", Ticket: ticket.Ticket}
+		is.NoErr(post(context.Background(), base(1)+"/command", "c1", req, &figmast.CommandAnswer{}))
+		out, err := invoke(t, "--json", "explain", "c1", "--ops", ops)
+		is.NoErr(err)
+		var events []timeline.Event
+		is.NoErr(json.Unmarshal([]byte(out), &events))
+		var order []string
+		for _, e := range events {
+			if e.Kind == timeline.RequestStarted || e.Kind == timeline.RequestEnded {
+				order = append(order, e.Host+" "+string(e.Kind))
+			}
+		}
+		is.Equal(order, []string{"host-2 request_started", "host-1 request_started", "host-1 request_ended", "host-2 request_ended"})
+		has(t, out, "forwarded")
+	})
 	t.Run("load", func(t *testing.T) {
 		is := is.New(t)
 		out, err := invoke(t, "--json", "load", "--hosts", hosts, "--service", "route-app-1", "--operation", "gate-note", "--rate", "100", "--duration", "300ms")
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -81,7 +81,7 @@
 	var last leafcall.ID
 	next := func() leafcall.ID { last++; return last }
 	h.pool = backend.NewPool(backend.Options{Clock: clock.Now, Preopen: true})
-	h.peers = &peers{}
+	h.peers = &peers{relayed: set.NewCounter("figmast_relayed_calls_total")}
 	h.peers.carrier = relay.New(relay.Options{Direct: h.pool, Peers: h.peers, Clock: clock.Now, View: h.view})
 	h.runner = traffic.NewRunner(traffic.Options{
 		Router:  router,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/figmast/figmast/command"
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
@@ -28,6 +30,8 @@
 	control   *controller
 	events    *timeline.Ring
 	carrier   *relay.Carrier
+	// relayed counts leaf calls that peers had this host make.
+	relayed *metrics.Counter
 }
 
 // Request sends a message and returns the answer; events of both hosts are
@@ -112,6 +116,7 @@
 	case m.Forward != nil:
 		return p.serveForward(ctx, m.Forward)
 	case m.LeafCall != nil:
+		p.relayed.Inc()
 		return p.carrier.Serve(ctx, m.LeafCall)
 	default:
 		return refuse("serve", "unknown message")
--- a/daemon/recorder.go
+++ b/daemon/recorder.go
@@ -123,6 +123,9 @@
 
 // CallEnded implements traffic.Recorder.
 func (r *recorder) CallEnded(s leafcall.Send, res leafcall.Result, took time.Duration) {
+	if res.Status < 0 || int(res.Status) >= len(callStatuses) {
+		res.Status = leafcall.Broken // a peer of another release relayed it
+	}
 	r.calls[res.Status].Inc()
 	m := r.service(s.Server.Service)
 	m.calls.Update(took.Seconds())
--- a/daemon/recorder_test.go
+++ b/daemon/recorder_test.go
@@ -62,6 +62,7 @@
 		{"slow answer of a wide service", 93, ok, 10 * time.Millisecond, "call_ended"},
 		{"answer of a cold server", 93, leafcall.Result{Status: leafcall.OK, Cold: true}, time.Millisecond, "call_ended"},
 		{"shed", 93, leafcall.Result{Status: leafcall.Shed}, time.Millisecond, "call_ended"},
+		{"status of another release", 93, leafcall.Result{Status: 99}, time.Millisecond, "call_ended"},
 		{"given up", 93, leafcall.Result{Status: leafcall.Cancelled, Err: errors.New("x")}, time.Millisecond, "call_cancelled"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
