--- a/policy/observe.go
+++ b/policy/observe.go
@@ -13,6 +13,7 @@
 	ResultBroken           // the connection broke after the call was sent
 	ResultTimeout          // the deadline passed
 	ResultCancelled        // given up by this host
+	ResultNoVerdict        // ended on this side or at the holder: tells nothing of the server
 )
 
 // Observation is what a finished leaf call tells about its server.
@@ -23,9 +24,6 @@
 	Cold bool
 	// Fingerprint of the request, as in Pick.
 	Fingerprint uint64
-	// Holder is set when the call failed on its way to the host that holds the
-	// connections, so that it tells nothing about the server.
-	Holder bool
 }
 
 // Begin records that a call to srv starts.
@@ -45,9 +43,6 @@
 	busy := srv.inFlight
 	srv.inFlight--
 	srv.leaf.service.flow.done(at, o.Result)
-	if o.Holder {
-		return
-	}
 	if o.Cold {
 		srv.warmth.saidCold(at, srv)
 	}
@@ -71,11 +66,19 @@
 	peers := s.leaf.typical(s)
 	s.health.succeed()
 	s.latency.add(at, o.Latency)
-	s.leaf.latency.add(o.Latency)
+	s.leaf.note(s, o.Latency)
 	s.limiter.answered(at, s, busy, o.Latency)
 	s.warmth.answered(at, s, busy, sample{latency: o.Latency, peers: peers, saidCold: o.Cold})
 }
 
+// note records a latency for hedging. Those of cold servers would move the
+// delay after which a second attempt goes to a warm one.
+func (l *leaf) note(s *Server, latency time.Duration) {
+	if s.warmth.state != cold {
+		l.latency.add(latency)
+	}
+}
+
 // outlasted takes in a call that ended without an answer: its server would
 // have taken longer still.
 func (s *Server) outlasted(at time.Duration, o Observation) {
@@ -83,7 +86,7 @@
 		s.latency.add(at, o.Latency)
 	}
 	if o.Latency >= s.leaf.latency.quantile() {
-		s.leaf.latency.add(o.Latency)
+		s.leaf.note(s, o.Latency)
 	}
 	s.warmth.note(at, s, sample{latency: o.Latency, peers: s.leaf.typical(s), censored: true})
 	if o.Result == ResultTimeout {
