--- a/cmd/figmast/ops_test.go
+++ b/cmd/figmast/ops_test.go
@@ -181,6 +181,25 @@
 		is.NoErr(err)
 		has(t, out, "TIME (UTC)", "request_ended")
 	})
+	t.Run("timeline follows, hosts from the environment", func(t *testing.T) {
+		is := is.New(t)
+		t.Setenv("FIGMAST_OPS", ops)
+		var a args
+		p, err := arg.NewParser(arg.Config{}, &a)
+		is.NoErr(err)
+		is.NoErr(p.Parse([]string{"timeline", "--follow", "--request", "f1"}))
+		is.NoErr(a.Timeline.check())
+		ctx, cancel := context.WithTimeout(context.Background(), 3*followEvery)
+		defer cancel()
+		go func() {
+			time.Sleep(followEvery / 2)
+			_, _ = invoke(t, "query", "--hosts", hosts, "--service", "route-app-1", "--operation", "gate-note", "--request-id", "f1")
+		}()
+		var out bytes.Buffer
+		is.NoErr(a.Timeline.run(ctx, &printer{w: &out}))
+		has(t, out.String(), "request_started", "request_ended")
+		is.Equal(strings.Count(out.String(), "request_ended"), 1) // each event once
+	})
 	t.Run("status of a data centre that went and came back", func(t *testing.T) {
 		is := is.New(t)
 		f.Publish(sample.Published{Version: 2, Snapshot: "monday", DataCentresOut: []string{"ph-mobile"}})
--- a/document/parse_test.go
+++ b/document/parse_test.go
@@ -55,6 +55,19 @@
 	is.Equal(book.MaxDeadline, Duration(20*time.Second)) // grows with the deadline
 }
 
+// TestBothReadings checks that a document can say what slots and connections
+// count.
+func TestBothReadings(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(minimal, "slots: 2", "slots: 1", 1)
+	_, err := Parse([]byte(text))
+	is.True(err != nil) // two replicas in one place
+	s, err := Parse([]byte("slots_mean: concurrency\nconnections_of: server\n" + text))
+	is.NoErr(err)
+	is.Equal(s.SlotsMean, SlotsAreConcurrency)
+	is.Equal(s.ConnectionsOf, ConnectionsOfServer)
+}
+
 func TestJSONIsYAML(t *testing.T) {
 	is := is.New(t)
 	s, err := Parse([]byte(`{
