A leaving host ends what it does for peers before it closes

A command that a peer relayed over this host's connections was cut when the host stopped: its outcome became unknown, though it ran. The host now waits for forwarded commands and relayed leaf calls, and leaves the connections to peers open 200 ms after the last answer.

--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/figmast/figmast/timeline"
 )
@@ -39,10 +40,33 @@
 	if err := h.callers.Shutdown(ctx); err != nil {
 		return fmt.Errorf("requests of callers were cut: %w", err)
 	}
+	peersErr := h.peers.drain(ctx)
 	held, err := h.runner.Drain(ctx)
 	h.log.Info("outcomes of commands forgotten", "claims", held.Claims, "unused_tickets", held.Tickets-held.Claims, "running", held.Running)
-	if err != nil {
+	if err := errors.Join(peersErr, err); err != nil {
 		return fmt.Errorf("requests of peers or commands were cut: %w", err)
 	}
 	return nil
 }
+
+// Times of the end of what peers asked for.
+const (
+	// peersPoll is how often the end is looked for.
+	peersPoll = 5 * time.Millisecond
+	// answerLinger is how long the connections to peers stay open for the last
+	// answers to arrive, lost packets included.
+	answerLinger = 200 * time.Millisecond
+)
+
+// drain waits until nothing is in progress for peers and the last answers
+// have had time to arrive, or until ctx is done; then it returns the cause.
+func (p *peers) drain(ctx context.Context) error {
+	for p.serving.Load() > 0 || time.Since(time.Unix(0, p.lastServed.Load())) < answerLinger {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(peersPoll):
+		}
+	}
+	return nil
+}
--- a/daemon/host_test.go
+++ b/daemon/host_test.go
@@ -42,10 +42,15 @@
 
 // startFleet runs hosts of the first sample service until the test ends.
 func startFleet(t *testing.T, hosts int, settings func(*daemon.Settings)) testFleet {
+	t.Helper()
+	return startShape(t, sample.Shapes()[0], hosts, settings)
+}
+
+func startShape(t *testing.T, shape sample.Shape, hosts int, settings func(*daemon.Settings)) testFleet {
 	t.Helper()
 	is := is.New(t)
 	logs := &logBuffer{}
-	f, err := fleet.Start(context.Background(), fleet.Options{Shape: sample.Shapes()[0], Hosts: hosts, Logs: logs, Settings: settings})
+	f, err := fleet.Start(context.Background(), fleet.Options{Shape: shape, Hosts: hosts, Logs: logs, Settings: settings})
 	is.NoErr(err)
 	t.Cleanup(func() {
 		is.NoErr(f.Stop(context.Background()))
@@ -185,6 +190,80 @@
 	}
 }
 
+// TestDrainFinishesWhatPeersForwarded checks that commands which a peer
+// forwarded to a leaving host are answered through the peer.
+func TestDrainFinishesWhatPeersForwarded(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2, func(s *daemon.Settings) { s.DrainWait = 0 })
+	minter, entry := f.Hosts[0], f.Hosts[1]
+	waitFor(t, func() bool {
+		_, status := read(t, "http://"+entry.OpsListen+"/v1/status")
+		return strings.Contains(status, minter.Host)
+	})
+	for _, b := range f.Backends {
+		b.Set(fake.Behaviour{Latency: 300 * time.Millisecond})
+	}
+	const n = 16
+	answers := make(chan figmast.CommandAnswer, n)
+	for i := range n {
+		var ticket figmast.TicketAnswer
+		postJSON(t, context.Background(), minter, "/tickets", struct{}{}, &ticket)
+		go func() {
+			var a figmast.CommandAnswer
+			req := figmast.CommandRequest{Operation: "book-visit", ShardKey: fmt.Sprint(i), Ticket: ticket.Ticket}
+			postJSON(t, context.Background(), entry, "/command", req, &a)
+			answers <- a
+		}()
+	}
+	waitFor(t, func() bool { return commands(f) == n })
+	is.NoErr(minter.Stop(context.Background()))
+	for range n {
+		is.Equal((<-answers).Outcome, figmast.Ran)
+	}
+}
+
+// TestDrainFinishesWhatItRelays checks that a leaving host ends the leaf calls
+// that it makes for a peer over connections which it holds.
+func TestDrainFinishesWhatItRelays(t *testing.T) {
+	is := is.New(t)
+	shape := sample.Shapes()[0]
+	shape.Leaves, shape.Slots, shape.Connections = 1, 1, 1
+	f := startShape(t, shape, 2, func(s *daemon.Settings) { s.DrainWait = 0 })
+	var holder, other *fleet.Host
+	waitFor(t, func() bool {
+		holder, other = f.Hosts[0], f.Hosts[1]
+		if connections(t, holder) == 0 {
+			holder, other = other, holder
+		}
+		return connections(t, holder) == 1 && connections(t, other) == 0 && queryStatus(t, other) == http.StatusOK
+	})
+	for _, b := range f.Backends {
+		b.Set(fake.Behaviour{Latency: 500 * time.Millisecond})
+	}
+	var ticket figmast.TicketAnswer
+	postJSON(t, context.Background(), other, "/tickets", struct{}{}, &ticket)
+	answer := make(chan figmast.CommandAnswer, 1)
+	go func() {
+		var a figmast.CommandAnswer
+		postJSON(t, context.Background(), other, "/command", figmast.CommandRequest{Operation: "book-visit", ShardKey: "k", Ticket: ticket.Ticket}, &a)
+		answer <- a
+	}()
+	waitFor(t, func() bool { return commands(f) == 1 })
+	is.NoErr(holder.Stop(context.Background()))
+	is.Equal((<-answer).Outcome, figmast.Ran)
+}
+
+// connections returns how many connections to backend servers the host holds.
+func connections(t *testing.T, h *fleet.Host) int {
+	t.Helper()
+	_, text := read(t, "http://"+h.OpsListen+"/metrics")
+	n := -1
+	for line := range strings.Lines(text) {
+		_, _ = fmt.Sscanf(line, "figmast_backend_connections %d", &n)
+	}
+	return n
+}
+
 func commands(f testFleet) int {
 	n := 0
 	for _, e := range f.Executions("") {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,10 @@
 	carrier   *relay.Carrier
 	// relayed counts leaf calls that peers had this host make.
 	relayed *metrics.Counter
+	// serving counts commands and leaf calls in progress for peers, and
+	// lastServed is when the last of them ended, in Unix nanoseconds.
+	serving    atomic.Int64
+	lastServed atomic.Int64
 }
 
 // Request sends a message and returns the answer; events of both hosts are
@@ -114,8 +119,10 @@
 	case m.Ask != nil:
 		return p.serveAsk(ctx, m.Ask)
 	case m.Forward != nil:
+		defer p.begin()()
 		return p.serveForward(ctx, m.Forward)
 	case m.LeafCall != nil:
+		defer p.begin()()
 		p.relayed.Inc()
 		return p.carrier.Serve(ctx, m.LeafCall)
 	default:
@@ -143,3 +150,12 @@
 	answer, problem := p.runner.Command(ctx, req)
 	return &wire.Message{Outcome: &wire.Outcome{Answer: answer, Problem: problem}}
 }
+
+// begin counts work for a peer; the function it returns ends it.
+func (p *peers) begin() (end func()) {
+	p.serving.Add(1)
+	return func() {
+		p.lastServed.Store(time.Now().UnixNano())
+		p.serving.Add(-1)
+	}
+}
