--- a/peer/transport.go
+++ b/peer/transport.go
@@ -38,7 +38,6 @@
 const (
 	codeGivenUp   quic.StreamErrorCode      = 1
 	codeMalformed quic.StreamErrorCode      = 2
-	codeSilent    quic.ApplicationErrorCode = 1
 	codeExpired   quic.ApplicationErrorCode = 2
 )
 
@@ -148,6 +147,10 @@
 // Address returns the IP number and port that the transport listens on.
 func (t *Transport) Address() string { return t.socket.LocalAddr().String() }
 
+// silentFor is how long a connection may bring no packet at all while a
+// request waits before later requests get a connection of their own.
+const silentFor = 200 * time.Millisecond
+
 // Request sends a message to the host at that address and returns its
 // answer. Errors are of type fault.Peer; step "connect" means that nothing
 // was sent.
@@ -160,11 +163,11 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Peer, "connect", address, err)
 	}
-	before := conn.ConnectionStats().PacketsReceived
+	before, start := conn.ConnectionStats().PacketsReceived, time.Now()
 	answer, err := exchange(ctx, conn, out)
 	if err != nil {
-		if conn.ConnectionStats().PacketsReceived == before {
-			_ = conn.CloseWithError(codeSilent, "no packet came back")
+		if conn.ConnectionStats().PacketsReceived == before && time.Since(start) >= silentFor {
+			t.forget(address, conn)
 		}
 		return nil, fault.Wrap(fault.Peer, "exchange", address, err)
 	}
