Query: as many parts may wait as their urgency deserves; bench: commands

Change: 4 urgent, 2 normal or 1 bulk part may wait at a leaf before queries of that rank are held back.

--- a/bench/bench.go
+++ b/bench/bench.go
@@ -75,6 +75,8 @@
 	// Untrue counts answers of mixed snapshots or overstated coverage,
 	// refusals that wrongly say not run, and answers after the deadline.
 	Untrue int
+	// Commands offered and answered, and Doubled runs of one command.
+	Commands, CommandsAnswered, Doubled int
 	// Reasons count the queries without an answer and the leaves missing from
 	// answers.
 	Reasons map[string]int
@@ -118,6 +120,7 @@
 	for _, name := range w.names {
 		w.arrivals(name)
 	}
+	w.orders()
 	w.run(warmUp + c.Length + drainTime)
 	w.result.Workload, w.result.Policy, w.result.Fault = c.Workload.Name, c.Policy, c.fault()
 	w.summarize()
@@ -171,15 +174,21 @@
 
 // submit sends the query to the host that the balancer picks.
 func (w *world) submit(r *request) {
-	r.host = w.hosts[w.rnd.IntN(len(w.hosts))]
+	r.host = w.balance()
+	w.open[r.ID] = r
+	w.after(toCaller, func() { r.host.start(r) })
+}
+
+// balance picks a host that was ready when the balancer last asked.
+func (w *world) balance() *host {
+	h := w.hosts[w.rnd.IntN(len(w.hosts))]
 	for range 2 * len(w.hosts) {
-		if r.host.ready {
+		if h.ready {
 			break
 		}
-		r.host = w.hosts[w.rnd.IntN(len(w.hosts))]
+		h = w.hosts[w.rnd.IntN(len(w.hosts))]
 	}
-	w.open[r.ID] = r
-	w.after(toCaller, func() { r.host.start(r) })
+	return h
 }
 
 func (w *world) bucket(at time.Duration) *bucket {
@@ -188,7 +197,9 @@
 
 // count records a call that reached a backend server.
 func (w *world) count(c *call) {
-	w.result.Calls++
+	if !c.send.Command {
+		w.result.Calls++
+	}
 	if c.server.zone == zone(0) {
 		w.bucket(w.now).calls++
 	}
--- a/bench/host.go
+++ b/bench/host.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/command"
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
@@ -30,24 +32,33 @@
 	pools    map[string]*pool
 	calls    map[leafcall.ID]*call
 	requests map[query.RunID]*request
-	ready    bool // as the balancer last saw it
-	cut      bool // partitioned from the platform and most hosts
-	wakeAt   time.Duration
+	commands *command.Engine
+	orders   map[command.RunID]func(command.Finish)
+	next     func() leafcall.ID
+	// commandsAt is when the commands' timer fires.
+	commandsAt time.Duration
+	ready      bool // as the balancer last saw it
+	cut        bool // partitioned from the platform and most hosts
+	wakeAt     time.Duration
 }
 
 func newHost(w *world, i int, self view.Host) *host {
 	h := &host{
 		world: w, self: self, pools: make(map[string]*pool),
 		calls: make(map[leafcall.ID]*call), requests: make(map[query.RunID]*request),
+		orders: make(map[command.RunID]func(command.Finish)),
 	}
 	rnd := rand.New(rand.NewPCG(w.config.Seed, uint64(i)+2))
 	h.router = policy.NewRouter(policy.Options{Rand: rnd})
 	var last leafcall.ID
-	next := func() leafcall.ID { last++; return last }
+	h.next = func() leafcall.ID { last++; return last }
+	h.commands = command.NewEngine(command.Options{
+		Router: h.router, NextCall: h.next, Host: self.ID, Key: []byte(self.ID), Incarnation: self.ID, Lifetime: ticketLife,
+	})
 	if w.config.Policy == Figmast {
-		h.decider = query.NewEngine(query.Options{Router: h.router, NextCall: next})
+		h.decider = query.NewEngine(query.Options{Router: h.router, NextCall: h.next})
 	} else {
-		h.decider = newBaseline(h.router, w.config.Policy, rnd, next)
+		h.decider = newBaseline(h.router, w.config.Policy, rnd, h.next)
 	}
 	h.learn()
 	h.confirm()
@@ -171,6 +182,10 @@
 		if c.closed {
 			return false
 		}
+		if s.Guard != nil && !s.Guard(h.world.time()) {
+			h.world.after(0, func() { h.result(c, leafcall.Result{Status: leafcall.NotSent}) })
+			return false
+		}
 		c.held = true
 		h.world.after(way, func() { srv.arrive(c) })
 		return true
@@ -200,7 +215,15 @@
 	if c.held {
 		c.pool.put(res.Status == leafcall.Cancelled || res.Status == leafcall.Broken || res.Status == leafcall.NotSent)
 	}
-	h.act(h.decider.Reply(h.world.time(), c.send.ID, res))
+	if !c.send.Command {
+		h.act(h.decider.Reply(h.world.time(), c.send.ID, res))
+	} else if h.world.config.Policy == Figmast {
+		h.actCommand(h.commands.Reply(h.world.time(), c.send.ID, res))
+	} else if res.Status == leafcall.OK {
+		h.world.after(toCaller, func() {
+			h.world.ordered[c.send.RequestID].end(h.world, command.Finish{Answer: &figmast.CommandAnswer{}})
+		})
+	}
 }
 
 // pool is a host's connections to one backend server, opened ahead of need.
--- a/bench/report.go
+++ b/bench/report.go
@@ -67,15 +67,16 @@
 
 // WriteTable writes the results as a table in Markdown.
 func WriteTable(w io.Writer, results []Result) error {
-	head := "| workload | fault | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra load | worth | urgent | goodput | late calls | cold excess | crashes | untrue |\n" +
-		"|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n"
+	head := "| workload | fault | policy | p50 ms | p99 ms | p99.9 ms | coverage | extra load | worth | urgent | goodput | late calls | cold excess | crashes | untrue | commands answered | doubled |\n" +
+		"|---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n"
 	if _, err := io.WriteString(w, head); err != nil {
 		return err
 	}
 	for _, r := range results {
-		_, err := fmt.Fprintf(w, "| %s | %s | %s | %.1f | %.1f | %.1f | %s | %.1f%% | %s | %s | %.1f%% | %d | %d | %d | %d |\n",
+		_, err := fmt.Fprintf(w, "| %s | %s | %s | %.1f | %.1f | %.1f | %s | %.1f%% | %s | %s | %.1f%% | %d | %d | %d | %d | %s | %d |\n",
 			r.Workload, r.Fault, r.Policy, r.P50, r.P99, r.P999, share(r.Coverage), 100*r.Extra,
-			share(r.Worth), share(r.Urgent), 100*r.Goodput, r.LateCalls, r.ColdExcess, r.Crashes, r.Untrue)
+			share(r.Worth), share(r.Urgent), 100*r.Goodput, r.LateCalls, r.ColdExcess, r.Crashes, r.Untrue,
+			share(float64(r.CommandsAnswered)/float64(max(r.Commands, 1))), r.Doubled)
 		if err != nil {
 			return err
 		}
--- a/bench/server.go
+++ b/bench/server.go
@@ -70,7 +70,7 @@
 	switch {
 	case s.down:
 		s.reply(c, leafcall.Result{Status: leafcall.NotSent})
-	case s.snapshots[c.send.Snapshot] == nil:
+	case !c.send.Command && s.snapshots[c.send.Snapshot] == nil:
 		s.reply(c, leafcall.Result{Status: leafcall.SnapshotGone, Sent: true})
 	case len(s.queue) >= longestQueue:
 		s.reply(c, leafcall.Result{Status: leafcall.Shed, Sent: true, RetryAfter: serviceTime})
@@ -107,6 +107,9 @@
 		c := s.queue[0]
 		s.queue = s.queue[1:]
 		s.running = append(s.running, c)
+		if c.send.Command {
+			s.world.executed(c)
+		}
 		s.world.after(s.workTime(c), func() { s.complete(c) })
 	}
 }
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -104,6 +104,7 @@
 	for _, o := range operations {
 		d.Operations = append(d.Operations, o.Operation)
 	}
+	d.Operations = append(d.Operations, book)
 	for l := range g.Leaves {
 		leaf := document.Leaf{Name: fmt.Sprintf("%s-l%d", name, l), Slots: g.Slots, Connections: g.Connections}
 		for s := range g.Slots {
--- a/bench/world.go
+++ b/bench/world.go
@@ -64,6 +64,7 @@
 	platform   bool // false while the platform is down
 	load       float64
 	open       map[string]*request
+	ordered    map[string]*order
 	snapshots  map[string]document.Snapshot // by service and id
 	result     *Result
 }
@@ -84,7 +85,7 @@
 		workload: c.Workload, config: c, rnd: rand.New(rand.NewPCG(c.Seed, 1)),
 		servers: make(map[string]*server), docs: make(map[string]*document.Service),
 		platform: true, load: c.Load, result: &Result{Reasons: make(map[string]int)},
-		open: make(map[string]*request), snapshots: make(map[string]document.Snapshot),
+		open: make(map[string]*request), ordered: make(map[string]*order), snapshots: make(map[string]document.Snapshot),
 	}
 	for _, d := range c.Workload.documents() {
 		w.docs[d.Name] = d
--- a/query/leafqueue.go
+++ b/query/leafqueue.go
@@ -9,8 +9,9 @@
 const noPlace = -1
 
 // crowdedAt is how many parts of a rank, or of those before it, wait at a leaf
-// before its service starts no further query of that rank: enough to keep the leaf busy, few enough to end in time.
-const crowdedAt = 2
+// before its service starts no further query of that rank: enough to keep the
+// leaf busy, few enough to end in time.
+var crowdedAt = [ranks]int{4, 2, 1}
 
 // leafQueue is what the engine keeps of one leaf: a heap of the parts that
 // wait for a free connection, the first served first.
@@ -59,7 +60,7 @@
 func (q *leafQueue) add(p *part) {
 	heap.Push(q, p)
 	for rank := p.run.rank(); rank < ranks; rank++ {
-		if q.ahead[rank]++; q.ahead[rank] == crowdedAt {
+		if q.ahead[rank]++; q.ahead[rank] == crowdedAt[rank] {
 			q.service.crowded[rank]++
 		}
 	}
@@ -70,7 +71,7 @@
 		return
 	}
 	for rank := p.run.rank(); rank < ranks; rank++ {
-		if q.ahead[rank]--; q.ahead[rank] == crowdedAt-1 {
+		if q.ahead[rank]--; q.ahead[rank] == crowdedAt[rank]-1 {
 			q.service.crowded[rank]--
 		}
 	}
