Fresh leafs hedge by their service's latency; no probes while others are only busy

A leaf that a host asks 6 times a second took 3 s to 20 samples and hedged at 50 ms until then. An ejected server was asked whenever the others had no room, which for a dead address can take a second to fail; such calls now wait for room. The service's pool holds 50 hedges: three servers that hang at once took 28 more than 20 could pay for.

--- a/policy/budget.go
+++ b/policy/budget.go
@@ -11,7 +11,7 @@
 const (
 	// hedgeBurst is a leaf's; what it cannot hold goes to its service's pool.
 	hedgeBurst = 4
-	hedgePool  = 20
+	hedgePool  = 50
 	// retryBurst is a service's: enough for the calls that break at once when
 	// a data centre is lost.
 	retryBurst = 100
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -95,8 +95,10 @@
 	count      int
 	// cold is a cold server with room.
 	cold *Server
-	// ejected is the server that comes back first.
+	// ejected is the server that comes back first; full is set where another
+	// one has only no room now, which is worth waiting for.
 	ejected *Server
+	full    bool
 	reason  Reason
 }
 
@@ -118,13 +120,12 @@
 		return
 	}
 	if srv.inFlight >= r.bound(at, srv) {
+		c.full = c.full || !srv.health.ejected(at)
 		c.explain(srv.fullReason())
 		return
 	}
 	if srv.health.ejected(at) {
-		if srv.inFlight == 0 && (c.ejected == nil || srv.health.until < c.ejected.health.until) {
-			c.ejected = srv
-		}
+		c.probe(srv)
 		c.explain(AllBusy)
 		return
 	}
@@ -137,6 +138,13 @@
 	}
 }
 
+// probe keeps the ejected server that comes back first, for one call at a time.
+func (c *choice) probe(srv *Server) {
+	if srv.inFlight == 0 && (c.ejected == nil || srv.health.until < c.ejected.health.until) {
+		c.ejected = srv
+	}
+}
+
 // bound returns how many calls srv may have in flight from this host now.
 func (r *Router) bound(at time.Duration, srv *Server) int {
 	srv.warmth.advance(at, srv)
@@ -193,7 +201,7 @@
 
 func (r *Router) decide(c *choice, p Pick) (*Server, Reason) {
 	switch {
-	case c.count == 0 && c.ejected != nil:
+	case c.count == 0 && c.ejected != nil && !c.full:
 		return c.ejected, Picked
 	case c.count == 0:
 		return nil, c.reason
--- a/policy/choose_test.go
+++ b/policy/choose_test.go
@@ -149,6 +149,21 @@
 	is.Equal(reason, AllBusy)
 }
 
+func TestAnEjectedServerIsNotAskedWhileOthersAreBusy(t *testing.T) {
+	is := is.New(t)
+	r := routers(1, 1, Options{}, shape{servers: 2, connections: 1}.doc())[0]
+	dead := r.server("svc", "leaf0", "s0-0")
+	for range 2 {
+		r.Begin(epoch, dead)
+		r.Done(epoch, dead, Observation{Result: ResultFailed})
+	}
+	srv, _ := r.Pick(epoch, leaf0)
+	is.Equal(srv.ID, "s0-1")
+	r.Begin(epoch, srv)
+	_, reason := r.Pick(epoch, leaf0)
+	is.Equal(reason, AllBusy)
+}
+
 func TestAServerThatLeavesKeepsItsCalls(t *testing.T) {
 	is := is.New(t)
 	d := shape{servers: 1, connections: 30}.doc()
--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -4,7 +4,8 @@
 
 // Hedging.
 const (
-	// firstHedgeDelay holds while a leaf has answered too few calls.
+	// firstHedgeDelay holds while a service has answered too few calls; one of
+	// its leafs that has takes the service's latency.
 	firstHedgeDelay = 50 * time.Millisecond
 	// minHedgeDelay is below what a second attempt can gain.
 	minHedgeDelay = time.Millisecond
@@ -28,11 +29,24 @@
 		return firstHedgeDelay
 	}
 	h := l.service.doc.Hedging
-	d := l.latency.want(max(h.Quantile, 1-hedgeMargin*h.Budget))
+	q := max(h.Quantile, 1-hedgeMargin*h.Budget)
+	if d := l.latency.hedgeDelay(q); d > 0 {
+		return d
+	}
+	if d := l.service.latency.hedgeDelay(q); d > 0 {
+		return d
+	}
+	return firstHedgeDelay
+}
+
+// hedgeDelay returns the delay that the record calls for, or 0 while it holds
+// too little.
+func (h *histogram) hedgeDelay(q float64) time.Duration {
+	d := h.want(q)
 	if d == 0 {
-		return firstHedgeDelay
+		return 0
 	}
-	return max(min(d, maxHedgeDelay*l.latency.median), minHedgeDelay)
+	return max(min(d, maxHedgeDelay*h.median), minHedgeDelay)
 }
 
 // SpendHedge takes one hedge from the leaf's budget, or from what the
--- a/policy/hedge_test.go
+++ b/policy/hedge_test.go
@@ -51,6 +51,19 @@
 	is.True(h.want(0.5) > time.Second)
 }
 
+func TestHedgeDelayFollowsTheLeafThenTheService(t *testing.T) {
+	is := is.New(t)
+	r := routers(1, 1, Options{}, shape{leaves: 2, servers: 3, connections: 50}.doc())[0]
+	is.Equal(r.HedgeDelay("svc", "leaf0"), firstHedgeDelay)
+	for range 2 * histogramFew {
+		call(t, r, epoch, leaf0, Observation{Latency: 10 * time.Millisecond})
+	}
+	near := func(d time.Duration) bool { return d > 8*time.Millisecond && d < 13*time.Millisecond }
+	is.True(near(r.HedgeDelay("svc", "leaf0")))
+	is.True(near(r.HedgeDelay("svc", "leaf1")))
+	is.Equal(r.HedgeDelay("svc", "nowhere"), firstHedgeDelay)
+}
+
 func TestBudgets(t *testing.T) {
 	is := is.New(t)
 	doc := shape{leaves: 2, servers: 3, connections: 50}.doc()
--- a/policy/observe.go
+++ b/policy/observe.go
@@ -76,6 +76,7 @@
 func (l *leaf) note(s *Server, latency time.Duration) {
 	if s.warmth.state != cold {
 		l.latency.add(latency)
+		l.service.latency.add(latency)
 	}
 }
 
--- a/policy/router.go
+++ b/policy/router.go
@@ -75,8 +75,9 @@
 	leaves  map[string]*leaf
 	retries budget
 	// hedges takes what the leaves' own budgets cannot hold.
-	hedges budget
-	flow   flow
+	hedges  budget
+	latency histogram
+	flow    flow
 }
 
 // leaf is what a Router knows of one leaf.
