A cold server's allowance is shared by the hosts that take new work

Hosts that leave, or that are remembered for their connections, came first for some cold servers and sent nothing; the others waited 3 s for each doubling.

--- a/policy/coldstart.go
+++ b/policy/coldstart.go
@@ -75,7 +75,7 @@
 }
 
 // portionOf returns how many calls at once are this host's of a level.
-func (s *Server) portionOf(level int) int { return portion(level, s.rank, s.sharers) }
+func (s *Server) portionOf(level int) int { return portion(level, s.liveRank, s.live) }
 
 // warmBound returns how many calls the server's warmth allows this host.
 func (s *Server) warmBound() int {
--- a/policy/coldstart_test.go
+++ b/policy/coldstart_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,29 @@
 	}
 }
 
+// A host that leaves holds its connections for a while, but not its part of
+// a cold server's allowance.
+func TestLeavingHostsSendNothingToColdServers(t *testing.T) {
+	is := is.New(t)
+	doc := shape{servers: 1, connections: 90}.doc()
+	hosts := hostList(9, 1)
+	all := routers(9, 1, Options{ShareLag: time.Second}, doc)
+	later := epoch.Add(time.Minute)
+	first := slices.IndexFunc(all, func(r *Router) bool { return r.server("svc", "leaf0", "s0-0").rank == 0 })
+	hosts[first].Leaving = true
+	sum := 0
+	for i, r := range all {
+		r.Apply(later, viewOf(hosts[i], hosts, doc))
+		srv := r.server("svc", "leaf0", "s0-0")
+		is.Equal(srv.share, 10)
+		srv.warmth.chill(r.last, srv)
+		if i != first {
+			sum += r.bound(r.last, srv)
+		}
+	}
+	is.Equal(sum, document.DefaultAllowance)
+}
+
 // fill begins calls until none is left and returns how many went to the
 // server.
 func fill(r *Router, id string) int {
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -125,6 +125,17 @@
 	return m.listed && !m.host.Leaving && (m.first == f.began || at-m.first >= f.joinWait())
 }
 
+// absent returns the other members that take no new work.
+func (f *fleet) absent() []*member {
+	var list []*member
+	for _, m := range f.members {
+		if m != f.self && (!m.listed || m.host.Leaving) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // next returns when the passing of time changes something, or 0.
 func (f *fleet) next(at time.Duration) time.Duration {
 	var next time.Duration
--- a/policy/router.go
+++ b/policy/router.go
@@ -57,6 +57,8 @@
 	epoch uint64
 	// sharing is set while the view allows connections to be held.
 	sharing bool
+	// absent are the members that take no new work.
+	absent []*member
 	// relays is set while peers can hold connections for this host.
 	relays bool
 	// nextShare is when time alone changes the allotments, or 0.
--- a/policy/shares.go
+++ b/policy/shares.go
@@ -13,6 +13,9 @@
 	// rank is this host's place among the sharers of the server.
 	rank    int
 	sharers int
+	// liveRank and live are the same among hosts that take new work.
+	liveRank int
+	live     int
 	// share is how many connections this host may hold.
 	share int
 	// ceiling is how many calls this host may have in flight.
@@ -119,6 +122,7 @@
 	r.epoch++
 	r.sharing = valid
 	r.relays = r.countRelays(at) > 0
+	r.absent = r.fleet.absent()
 	r.nextShare = r.fleet.next(at)
 	changed := false
 	for _, l := range r.leaves {
@@ -160,6 +164,8 @@
 	doc := srv.leaf.service.doc
 	srv.share, srv.ceiling = 0, 0
 	srv.sharers = r.fleet.size()
+	srv.live = max(srv.sharers-len(r.absent), 1)
+	srv.liveRank = srv.rank - preceding(r.absent, r.fleet.self, srv)
 	if !srv.active() || !r.sharing {
 		return old != 0
 	}
@@ -204,7 +210,11 @@
 	}
 }
 
+// preceding returns how many of the list come before self in sharing srv.
 func preceding(list []*member, self *member, srv *Server) int {
+	if self == nil {
+		return 0
+	}
 	n := 0
 	for _, m := range list {
 		if m != self && precedes(m, self, srv) {
