--- a/cmd/figmast/ops_test.go
+++ b/cmd/figmast/ops_test.go
@@ -133,6 +133,26 @@
 		has(t, out, "ran on")
 		is.Equal(len(commandsIn(f.Executions("")))-before, 1)
 	})
+	t.Run("explain over two hosts", func(t *testing.T) {
+		is := is.New(t)
+		base := func(i int) string { return "http://" + f.Hosts[i].CallerListen + "/v1/services/route-app-1" }
+		var ticket figmast.TicketAnswer
+		is.NoErr(post(context.Background(), base(0)+"/tickets", "", struct{}{}, &ticket))
+		req := figmast.CommandRequest{Operation: "book-visit", ShardKey: "yard-18", Ticket: ticket.Ticket}
+		is.NoErr(post(context.Background(), base(1)+"/command", "c1", req, &figmast.CommandAnswer{}))
+		out, err := invoke(t, "--json", "explain", "c1", "--ops", ops)
+		is.NoErr(err)
+		var events []timeline.Event
+		is.NoErr(json.Unmarshal([]byte(out), &events))
+		var order []string
+		for _, e := range events {
+			if e.Kind == timeline.RequestStarted || e.Kind == timeline.RequestEnded {
+				order = append(order, e.Host+" "+string(e.Kind))
+			}
+		}
+		is.Equal(order, []string{"host-2 request_started", "host-1 request_started", "host-1 request_ended", "host-2 request_ended"})
+		has(t, out, "forwarded")
+	})
 	t.Run("load", func(t *testing.T) {
 		is := is.New(t)
 		out, err := invoke(t, "--json", "load", "--hosts", hosts, "--service", "route-app-1", "--operation", "gate-note", "--rate", "100", "--duration", "300ms")
@@ -161,6 +181,25 @@
 		is.NoErr(err)
 		has(t, out, "TIME (UTC)", "request_ended")
 	})
+	t.Run("timeline follows, hosts from the environment", func(t *testing.T) {
+		is := is.New(t)
+		t.Setenv("FIGMAST_OPS", ops)
+		var a args
+		p, err := arg.NewParser(arg.Config{}, &a)
+		is.NoErr(err)
+		is.NoErr(p.Parse([]string{"timeline", "--follow", "--request", "f1"}))
+		is.NoErr(a.Timeline.check())
+		ctx, cancel := context.WithTimeout(context.Background(), 3*followEvery)
+		defer cancel()
+		go func() {
+			time.Sleep(followEvery / 2)
+			_, _ = invoke(t, "query", "--hosts", hosts, "--service", "route-app-1", "--operation", "gate-note", "--request-id", "f1")
+		}()
+		var out bytes.Buffer
+		is.NoErr(a.Timeline.run(ctx, &printer{w: &out}))
+		has(t, out.String(), "request_started", "request_ended")
+		is.Equal(strings.Count(out.String(), "request_ended"), 1) // each event once
+	})
 	t.Run("status of a data centre that went and came back", func(t *testing.T) {
 		is := is.New(t)
 		f.Publish(sample.Published{Version: 2, Snapshot: "monday", DataCentresOut: []string{"ph-mobile"}})
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// made reports whether the attempt has ended with that connection.
+func (c *connection) made(conn *quic.Conn) bool {
+	select {
+	case <-c.done:
+		return c.conn == conn
+	default:
+		return false
+	}
+}
+
 // connect returns the connection to an address. Callers at the same time
 // share one attempt.
 func (t *Transport) connect(ctx context.Context, address string) (*quic.Conn, error) {
@@ -100,3 +110,14 @@
 	timer := time.AfterFunc(left, func() { _ = c.CloseWithError(codeExpired, "the certificate has expired") })
 	return func() { timer.Stop() }
 }
+
+// forget makes the next request dial anew: a peer that is silent may have been
+// replaced, which an open connection shows only when it idles out. Other
+// requests on the connection go on.
+func (t *Transport) forget(address string, c *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known := t.conns[address]; known != nil && known.made(c) {
+		delete(t.conns, address)
+	}
+}
