--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -219,6 +220,43 @@
 	})
 }
 
+// TestLeavingHostFinishesForwardedCommands stops the minter while a command
+// that another host forwarded runs there.
+func TestLeavingHostFinishesForwardedCommands(t *testing.T) {
+	is := is.New(t)
+	f, servers := commandFleet(t)
+	minter, other := f.hosts[0], f.hosts[1]
+	const latency = 1500 * time.Millisecond
+	behave(t, servers, fake.Behaviour{Latency: latency})
+	ticket := minter.ticket(t)
+	first := make(chan told, 1)
+	go func() { first <- other.book(t, ticket, "leaving", 5*time.Second) }()
+	waitFor(t, "the command to run", func() bool { return ran(t, servers)[`"leaving"`] == 1 })
+	minter.signal(t, syscall.SIGTERM)
+	time.Sleep(latency / 3) // the drain wait is over
+	is.Equal(other.book(t, ticket, "leaving", 4*time.Second).Outcome, figmast.Ran)
+	is.Equal((<-first).Outcome, figmast.Ran)
+	is.NoErr(minter.cmd.Wait())
+	is.Equal(ran(t, servers)[`"leaving"`], 1)
+}
+
+// TestForwardingCost logs what the hop to the minter adds to a resend.
+func TestForwardingCost(t *testing.T) {
+	f, _ := commandFleet(t)
+	ticket := f.hosts[0].ticket(t)
+	const sendings = 300
+	for _, h := range f.hosts {
+		times := make([]time.Duration, sendings)
+		for i := range times {
+			start := time.Now()
+			h.book(t, ticket, "cost", 4*time.Second)
+			times[i] = time.Since(start)
+		}
+		slices.Sort(times)
+		t.Logf("resend through %s: p50 %v, p90 %v", h.id, times[sendings/2], times[sendings*9/10])
+	}
+}
+
 // TestBookingsWhileHostsAreKilled books concurrently through the client
 // library while hosts are killed and replaced in turn.
 func TestBookingsWhileHostsAreKilled(t *testing.T) {
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -141,8 +141,13 @@
 	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
 }
 
-// drainPoll is how often DrainCommands looks whether commands still run.
-const drainPoll = 10 * time.Millisecond
+// Times of DrainCommands.
+const (
+	// drainPoll is how often it looks whether commands still run.
+	drainPoll = 10 * time.Millisecond
+	// answerTime is left for the last answers to be written to peers.
+	answerTime = 50 * time.Millisecond
+)
 
 // DrainCommands takes no more commands and waits until none runs and
 // no caller waits, or ctx has ended. It returns what the engine then holds, which is forgotten
@@ -153,13 +158,21 @@
 		r.opts.Commands.Close()
 		s := r.opts.Commands.Stats()
 		r.mu.Unlock()
-		if s.Running+s.Waiting == 0 || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return s
 		}
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
+		if s.Running+s.Waiting == 0 {
+			pause(ctx, answerTime)
+			return s
 		}
+		pause(ctx, drainPoll)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
