Commands: wait 2 s past the deadline for an answer

Cause: the call was given up at the caller's deadline, so an answer just after it left the outcome unknown for good. Now a resend learns that the command ran.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -104,7 +104,7 @@
 	if c == nil {
 		return notSent(s, "connect", errNoConnection)
 	}
-	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(s.Linger))
 	defer cancel()
 	cc, err := c.get(ctx)
 	if err != nil {
--- a/command/claim.go
+++ b/command/claim.go
@@ -138,6 +138,10 @@
 	e.send(now, c)
 }
 
+// linger is how long past its deadline an answer is waited for, so that a
+// resend may learn the outcome.
+const linger = 2 * time.Second
+
 // send makes one attempt of the run, or settles that it never runs: nothing
 // has been sent yet, or every server tried has said that it did not run it.
 func (e *Engine) send(now time.Time, c *claim) {
@@ -158,7 +162,7 @@
 	e.calls[id] = c
 	e.out.Send = append(e.out.Send, leafcall.Send{
 		ID: id, Server: srv, Via: router.Holder(srv), RequestID: r.req.ID, Operation: r.req.Operation,
-		Payload: r.req.Payload, Deadline: r.deadline, Command: true, Guard: guard(r.deadline, c.lapse),
+		Payload: r.req.Payload, Deadline: r.deadline, Linger: linger, Command: true, Guard: guard(r.deadline, c.lapse),
 	})
 	e.note(c, decision.Sent, "")
 }
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -164,6 +164,15 @@
 		}
 		is.Equal(ran(t, servers)[`"breaks"`], 1)
 	})
+	t.Run("an answer later than the deadline", func(t *testing.T) {
+		is := is.New(t)
+		behave(t, servers, fake.Behaviour{Latency: 800 * time.Millisecond})
+		defer behave(t, servers, fake.Behaviour{})
+		ticket := minter.ticket(t)
+		is.Equal(other.book(t, ticket, "slow", 300*time.Millisecond).Outcome, figmast.Unknown)
+		is.Equal(other.book(t, ticket, "slow", 4*time.Second).Outcome, figmast.Ran)
+		is.Equal(ran(t, servers)[`"slow"`], 1)
+	})
 	t.Run("tickets of others", func(t *testing.T) {
 		is := is.New(t)
 		ticket := minter.ticket(t)
--- a/leafcall/leafcall.go
+++ b/leafcall/leafcall.go
@@ -27,6 +27,9 @@
 	Payload  []byte
 	// Deadline is handed to the backend server as the time left.
 	Deadline time.Time
+	// Linger is how much longer than Deadline the carrier waits for an answer
+	// to what it has sent.
+	Linger time.Duration
 	// Command marks work that may not be repeated: the carrier sends it at
 	// most once and never resends on another connection.
 	Command bool
