Commands: one read too late closes its ticket; client deadlines

The minter now closes the ticket and says not_run.

The client hands on the caller's whole time as the command's deadline, not that of one try, and leaves it to the service where that allows less. A query gets at least half of the time left for a try.

--- a/client.go
+++ b/client.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -49,7 +50,9 @@
 	// Timeout bounds a request whose context has no deadline; 0 means
 	// DefaultTimeout.
 	Timeout time.Duration
-	// TryTimeout bounds one try at one host; 0 means DefaultTryTimeout.
+	// TryTimeout bounds one try at one host; 0 means DefaultTryTimeout. A
+	// command goes on beyond it, and the next try joins it. A query gets at
+	// least half of the time left, since another try begins it anew.
 	TryTimeout time.Duration
 }
 
@@ -60,6 +63,9 @@
 	opts  ClientOptions
 	first atomic.Uint64
 	stash ticketStash
+	// refused holds deadlines that were above what a service allows, in
+	// milliseconds, by service and verb.
+	refused sync.Map
 }
 
 // NewClient returns a Client; Close ends it.
@@ -111,7 +117,7 @@
 	var last *Problem
 	for try := 0; ; try++ {
 		ans := new(QueryAnswer)
-		p := c.call(ctx, hosts[try%len(hosts)], service, "query", q, ans)
+		p := c.call(ctx, hosts[try%len(hosts)], service, queryVerb, q, ans)
 		if p == nil {
 			return ans, nil
 		}
@@ -166,19 +172,46 @@
 	}
 }
 
-// call makes one try at one host.
+// Verbs of the interface, the last part of the path.
+const (
+	queryVerb   = "query"
+	commandVerb = "command"
+	ticketsVerb = "tickets"
+)
+
+// call makes one try at one host. Where the time left is above what the
+// service allows, it is left to the service.
 func (c *Client) call(ctx context.Context, host, service, verb string, body, answer any) *Problem {
-	p := c.post(ctx, host, service, verb, body, answer, true)
-	if p != nil && p.Field == HeaderDeadline {
-		return c.post(ctx, host, service, verb, body, answer, false)
+	left := timeLeft(ctx)
+	key := service + "/" + verb
+	if least, ok := c.refused.Load(key); ok && left >= least.(int64) {
+		return c.post(ctx, host, service, verb, body, answer, 0)
 	}
-	return p
+	p := c.post(ctx, host, service, verb, body, answer, left)
+	if p == nil || p.Field != HeaderDeadline {
+		return p
+	}
+	c.refused.Store(key, left)
+	return c.post(ctx, host, service, verb, body, answer, 0)
+}
+
+// timeLeft returns the milliseconds left, at least 1.
+func timeLeft(ctx context.Context) int64 {
+	end, _ := ctx.Deadline()
+	return max(time.Until(end).Milliseconds(), 1)
+}
+
+// tryLimit bounds one try.
+func (c *Client) tryLimit(ctx context.Context, verb string) time.Duration {
+	if verb != queryVerb {
+		return c.opts.TryTimeout
+	}
+	return max(c.opts.TryTimeout, time.Duration(timeLeft(ctx))*time.Millisecond/2)
 }
 
-// post sends the request; with the time left as its deadline, or without
-// where the service allows less than that.
-func (c *Client) post(ctx context.Context, host, service, verb string, body, answer any, deadline bool) *Problem {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.TryTimeout)
+// post sends the request, with its deadline in milliseconds unless that is 0.
+func (c *Client) post(ctx context.Context, host, service, verb string, body, answer any, deadline int64) *Problem {
+	ctx, cancel := context.WithTimeout(ctx, c.tryLimit(ctx, verb))
 	defer cancel()
 	text, err := json.Marshal(body)
 	if err != nil {
@@ -192,8 +225,8 @@
 	// A connection that breaks must not make net/http send it again unseen.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/json")
-	if end, ok := ctx.Deadline(); ok && deadline {
-		req.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(end).Milliseconds(), 1), 10))
+	if deadline > 0 {
+		req.Header.Set(HeaderDeadline, strconv.FormatInt(deadline, 10))
 	}
 	resp, err := c.opts.HTTP.Do(req)
 	if err != nil {
--- a/client_command.go
+++ b/client_command.go
@@ -46,7 +46,7 @@
 	handled := false
 	for try := 0; ; try++ {
 		ans := new(CommandAnswer)
-		p := c.call(ctx, hosts[try%len(hosts)], service, "command", cmd, ans)
+		p := c.call(ctx, hosts[try%len(hosts)], service, commandVerb, cmd, ans)
 		if p == nil {
 			return ans, nil
 		}
--- a/client_test.go
+++ b/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -23,6 +24,10 @@
 	mu       sync.Mutex
 	minted   int
 	commands []figmast.CommandRequest
+	// limit is the longest deadline allowed, in milliseconds, if above 0;
+	// refusals counts what was above it.
+	limit    int
+	refusals int
 	at       []int
 	servers  []*httptest.Server
 	// answer is asked for each command, by the host's index and how many
@@ -52,6 +57,11 @@
 		_ = json.NewEncoder(w).Encode(figmast.TicketAnswer{Ticket: fmt.Sprintf("t%d", h.minted), LifetimeMs: 600_000})
 		return
 	}
+	if ms, _ := strconv.Atoi(r.Header.Get(figmast.HeaderDeadline)); h.limit > 0 && ms > h.limit {
+		h.refusals++
+		h.problem(w, &figmast.Problem{Status: 400, Field: figmast.HeaderDeadline, Outcome: figmast.Unknown, Unhandled: true})
+		return
+	}
 	var cmd figmast.CommandRequest
 	_ = json.NewDecoder(r.Body).Decode(&cmd)
 	p := h.answer(i, len(h.commands))
@@ -63,12 +73,16 @@
 	case p.Title == "break":
 		panic(http.ErrAbortHandler)
 	default:
-		w.Header().Set("Content-Type", "application/problem+json")
-		w.WriteHeader(p.Status)
-		_ = json.NewEncoder(w).Encode(p)
+		h.problem(w, p)
 	}
 }
 
+func (h *hosts) problem(w http.ResponseWriter, p *figmast.Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
 func (h *hosts) client(t *testing.T) *figmast.Client {
 	t.Helper()
 	var addresses []string
@@ -191,6 +205,19 @@
 	is.Equal(p.Outcome, figmast.NotRun)
 }
 
+// A context with more time than the service allows is no fault of the caller.
+func TestLongDeadlineIsLeftToTheService(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 1, func(int, int) *figmast.Problem { return nil })
+	h.limit = 1000
+	c := h.client(t)
+	for range 3 {
+		_, p := book(t, c, 5*time.Second)
+		is.True(p == nil)
+	}
+	is.Equal(h.refusals, 1) // then it is known
+}
+
 func TestNoHostReachable(t *testing.T) {
 	is := is.New(t)
 	h := newHosts(t, 1, nil)
--- a/client_tickets.go
+++ b/client_tickets.go
@@ -114,7 +114,7 @@
 		host := hosts[try%len(hosts)]
 		asked := time.Now()
 		var ans TicketAnswer
-		p := c.call(ctx, host, service, "tickets", struct{}{}, &ans)
+		p := c.call(ctx, host, service, ticketsVerb, struct{}{}, &ans)
 		if p == nil {
 			life := time.Duration(ans.LifetimeMs) * time.Millisecond
 			return heldTicket{text: ans.Ticket, host: host, until: asked.Add(life)}, nil
--- a/command/claim.go
+++ b/command/claim.go
@@ -60,7 +60,6 @@
 func (e *Engine) present(now time.Time, w *wait, t Ticket) {
 	content := contentOf(w.req)
 	c := e.claims[t.Serial]
-	deadline := e.pauses.deadline(now, w.req.Deadline)
 	switch {
 	case c != nil && c.content != content:
 		e.refuse(w, otherContent())
@@ -68,15 +67,13 @@
 		e.join(c, w)
 	case !now.Before(t.lapse()):
 		e.refuse(w, lapsed())
-	case !now.Before(deadline):
-		e.refuse(w, tooLate())
 	default:
 		c = &claim{serial: t.Serial, content: content, lapse: t.lapse()}
 		e.claims[t.Serial] = c
 		e.lapses.add(c.lapse, c)
 		e.attach(c, w)
 		e.decide(w, decision.Claimed, "", "", "")
-		e.admit(now, c, w, deadline)
+		e.admit(now, c, w)
 	}
 }
 
@@ -111,8 +108,13 @@
 }
 
 // admit starts the run of a new claim, or settles that it never runs.
-func (e *Engine) admit(now time.Time, c *claim, w *wait, deadline time.Time) {
+func (e *Engine) admit(now time.Time, c *claim, w *wait) {
 	v := e.opts.Router.View()
+	deadline := e.pauses.deadline(now, w.req.Deadline)
+	if !now.Before(deadline) {
+		e.settle(c, Finish{Problem: comeAgain("the request was read too late", "", e.opts.Host, comeBack)})
+		return
+	}
 	if e.closed {
 		e.settle(c, Finish{Problem: comeAgain("the host is leaving", "", e.opts.Host, comeBack)})
 		return
--- a/command/problem.go
+++ b/command/problem.go
@@ -85,14 +85,6 @@
 	return p
 }
 
-// tooLate refuses a request whose time had passed when it was read. The
-// ticket stays unused.
-func tooLate() *figmast.Problem {
-	p := outOfTime()
-	p.Unhandled = true
-	return p
-}
-
 func resultForgotten(service string) *figmast.Problem {
 	return problem(http.StatusGone, "the command ran, but its result is no longer held", service, figmast.Ran)
 }
