--- a/command/claim.go
+++ b/command/claim.go
@@ -60,7 +60,6 @@
 func (e *Engine) present(now time.Time, w *wait, t Ticket) {
 	content := contentOf(w.req)
 	c := e.claims[t.Serial]
-	deadline := e.pauses.deadline(now, w.req.Deadline)
 	switch {
 	case c != nil && c.content != content:
 		e.refuse(w, otherContent())
@@ -68,15 +67,13 @@
 		e.join(c, w)
 	case !now.Before(t.lapse()):
 		e.refuse(w, lapsed())
-	case !now.Before(deadline):
-		e.refuse(w, tooLate())
 	default:
 		c = &claim{serial: t.Serial, content: content, lapse: t.lapse()}
 		e.claims[t.Serial] = c
 		e.lapses.add(c.lapse, c)
 		e.attach(c, w)
 		e.decide(w, decision.Claimed, "", "", "")
-		e.admit(now, c, w, deadline)
+		e.admit(now, c, w)
 	}
 }
 
@@ -111,8 +108,13 @@
 }
 
 // admit starts the run of a new claim, or settles that it never runs.
-func (e *Engine) admit(now time.Time, c *claim, w *wait, deadline time.Time) {
+func (e *Engine) admit(now time.Time, c *claim, w *wait) {
 	v := e.opts.Router.View()
+	deadline := e.pauses.deadline(now, w.req.Deadline)
+	if !now.Before(deadline) {
+		e.settle(c, Finish{Problem: comeAgain("the request was read too late", "", e.opts.Host, comeBack)})
+		return
+	}
 	if e.closed {
 		e.settle(c, Finish{Problem: comeAgain("the host is leaving", "", e.opts.Host, comeBack)})
 		return
@@ -138,6 +140,10 @@
 	e.send(now, c)
 }
 
+// linger is how long past its deadline an answer is waited for, so that a
+// resend may learn the outcome.
+const linger = 2 * time.Second
+
 // send makes one attempt of the run, or settles that it never runs: nothing
 // has been sent yet, or every server tried has said that it did not run it.
 func (e *Engine) send(now time.Time, c *claim) {
@@ -158,7 +164,7 @@
 	e.calls[id] = c
 	e.out.Send = append(e.out.Send, leafcall.Send{
 		ID: id, Server: srv, Via: router.Holder(srv), RequestID: r.req.ID, Operation: r.req.Operation,
-		Payload: r.req.Payload, Deadline: r.deadline, Command: true, Guard: guard(r.deadline, c.lapse),
+		Payload: r.req.Payload, Deadline: r.deadline, Linger: linger, Command: true, Guard: guard(r.deadline, c.lapse),
 	})
 	e.note(c, decision.Sent, "")
 }
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -180,8 +180,13 @@
 	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
 }
 
-// drainPoll is how often Drain looks.
-const drainPoll = 5 * time.Millisecond
+// Times of Drain.
+const (
+	// drainPoll is how often it looks.
+	drainPoll = 5 * time.Millisecond
+	// answerTime is left for the last answers to be written to peers.
+	answerTime = 50 * time.Millisecond
+)
 
 // Drain takes no more commands and waits until no caller waits and no command
 // runs, or until ctx is done; then it returns the cause. It tells what the
@@ -191,13 +196,20 @@
 	for {
 		held, idle := r.settled()
 		if idle {
+			pause(ctx, answerTime)
 			return held, nil
 		}
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
+		if ctx.Err() != nil {
 			return held, context.Cause(ctx)
 		}
+		pause(ctx, drainPoll)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
 
