Query: a shed call without retry budget waits for its turn

Cause: a fleet that meets twice the capacity with nothing learnt yet fills the servers' queues; 92 queries of one service of 30 leaves were lost to sheds for which no retry budget was left. Change: such a part waits in its leaf's queue, within the document's attempts and at the pace of the limit that the shed has cut.

--- a/query/part.go
+++ b/query/part.go
@@ -161,12 +161,20 @@
 	}
 }
 
+// retry sends a failed call to another server, as far as the budget allows. A
+// call that a server shed did no work: without budget it waits for its turn at
+// the leaf, at the pace that the Router's limits allow after the shed.
 func (p *part) retry(now time.Time, res leafcall.Result) {
 	why := failure(res)
 	if res.Status == leafcall.NotSent {
 		p.tries-- // no backend server did any work
 	}
-	if reason := p.mayRetry(now, res); reason != "" {
+	reason := p.mayRetry(now, res)
+	if reason == noBudget && res.Status == leafcall.Shed {
+		p.wait(now)
+		return
+	}
+	if reason != "" {
 		p.run.engine.decide(p.run, decision.NoRetry, p, reason)
 		p.fail(now, policy.Reason(why))
 		return
@@ -175,6 +183,9 @@
 	p.try(now)
 }
 
+// noBudget is why extra calls are not made.
+const noBudget = "budget"
+
 // mayRetry tells why not, or "". A call that never left costs the backend
 // servers nothing and takes nothing from the budget.
 func (p *part) mayRetry(now time.Time, res leafcall.Result) string {
@@ -185,7 +196,7 @@
 	case p.run.req.Deadline.Sub(now) < router.HedgeDelay(service, p.leaf)/2:
 		return string(deadline)
 	case res.Status != leafcall.NotSent && !router.SpendRetry(now, service):
-		return "budget"
+		return noBudget
 	}
 	return ""
 }
@@ -332,7 +343,7 @@
 		return
 	}
 	if !router.SpendHedge(now, p.run.req.Service, p.leaf) {
-		p.run.engine.decide(p.run, decision.NoHedge, p, "budget")
+		p.run.engine.decide(p.run, decision.NoHedge, p, noBudget)
 		return
 	}
 	p.send(now, srv)
