--- a/query/part.go
+++ b/query/part.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/figmast/figmast/decision"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 )
@@ -17,11 +16,6 @@
 	// usualReplicas is how many servers a part can have tried before a list
 	// is allocated.
 	usualReplicas = 4
-	// stragglerShare is the part of a query's leaves that may be hedged: the
-	// last ones to answer.
-	stragglerShare = 10
-	// maxHedges bounds the hedges of one part that run at once.
-	maxHedges = 2
 )
 
 // part is one leaf's share of a query.
@@ -161,75 +155,6 @@
 	}
 }
 
-// retry sends a failed call to another server, as far as the budget allows. A
-// call that a server shed did no work: without budget it waits for its turn at
-// the leaf, at the pace that the Router's limits allow after the shed.
-func (p *part) retry(now time.Time, res leafcall.Result) {
-	why := failure(res)
-	if res.Status == leafcall.NotSent {
-		p.tries-- // no backend server did any work
-	}
-	reason := p.mayRetry(now, res)
-	if reason == noBudget && res.Status == leafcall.Shed {
-		p.wait(now)
-		return
-	}
-	if reason != "" {
-		p.run.engine.decide(p.run, decision.NoRetry, p, reason)
-		p.fail(now, policy.Reason(why))
-		return
-	}
-	p.run.engine.decide(p.run, decision.Retried, p, why)
-	p.try(now)
-}
-
-// noBudget is why extra calls are not made.
-const noBudget = "budget"
-
-// mayRetry tells why not, or "". A call that never left costs the backend
-// servers nothing and takes nothing from the budget.
-func (p *part) mayRetry(now time.Time, res leafcall.Result) string {
-	router, service := p.run.engine.opts.Router, p.run.req.Service
-	switch {
-	case p.tries >= p.run.doc.Retries.Attempts:
-		return "attempts"
-	case p.run.req.Deadline.Sub(now) < router.HedgeDelay(service, p.leaf)/2:
-		return string(deadline)
-	case res.Status != leafcall.NotSent && !router.SpendRetry(now, service):
-		return noBudget
-	}
-	return ""
-}
-
-// elsewhere asks another server for the snapshot, and where none is left
-// starts the query again on a snapshot that all leaves serve.
-func (p *part) elsewhere(now time.Time) {
-	srv, reason := p.pick(now, false)
-	switch {
-	case srv != nil:
-		p.send(now, srv)
-	case waitable(reason):
-		p.wait(now)
-	case !p.run.restart(now):
-		p.fail(now, snapshotGone)
-	}
-}
-
-func failure(res leafcall.Result) string {
-	switch res.Status {
-	case leafcall.Shed:
-		return "shed"
-	case leafcall.SnapshotGone:
-		return string(snapshotGone)
-	case leafcall.Timeout:
-		return "timeout"
-	case leafcall.OK, leafcall.Mismatch:
-		return "other_snapshot"
-	default:
-		return "failed"
-	}
-}
-
 // fail gives the part up. A request that crashes servers ends at once.
 func (p *part) fail(now time.Time, reason policy.Reason) {
 	p.failed = string(reason)
@@ -308,44 +233,3 @@
 	}
 	return other
 }
-
-// stragglers is how many open parts are few enough to hedge.
-func (r *run) stragglers() int { return max(len(r.parts)/stragglerShare, 1) }
-
-// hedgeOverdue sends second attempts for the last parts of a query that are
-// late.
-func (r *run) hedgeOverdue(now time.Time) {
-	for _, p := range r.open {
-		if p.mayHedge() && !now.Before(p.hedgeAt) {
-			p.hedge(now)
-		}
-	}
-}
-
-// mayHedge reports whether calls are running, but not too many. A hedge that
-// is late itself may be followed by one more.
-func (p *part) mayHedge() bool {
-	n := p.running()
-	return n > 0 && n <= maxHedges
-}
-
-func (p *part) hedge(now time.Time) {
-	router := p.run.engine.opts.Router
-	delay := router.HedgeDelay(p.run.req.Service, p.leaf)
-	p.hedgeAt = now.Add(delay)
-	p.run.soon(p.hedgeAt)
-	if p.run.req.Deadline.Sub(now) < delay/2 || p.queue.Len() > 0 {
-		return
-	}
-	srv, reason := p.pick(now, true)
-	if srv == nil {
-		p.run.engine.decide(p.run, decision.NoHedge, p, string(reason))
-		return
-	}
-	if !router.SpendHedge(now, p.run.req.Service, p.leaf) {
-		p.run.engine.decide(p.run, decision.NoHedge, p, noBudget)
-		return
-	}
-	p.send(now, srv)
-	p.run.engine.decide(p.run, decision.Hedged, p, "late")
-}
