Query: forget leaves that a document no longer has

Cause: the engine kept the queue and marks of every leaf name it ever met. Test: 50 documents that rename all leaves; with the mechanism off it fails with more than 4 leaves kept.

--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -186,6 +186,29 @@
 	is.Equal(r.sent[0].Snapshot, "snap2") // asked again
 }
 
+// A service whose leaves are renamed again and again keeps no old ones.
+func TestOldLeavesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	r := newRig(0, testDocument(2, 1))
+	for i := range 50 {
+		doc := testDocument(2, 1)
+		doc.Version = uint64(i + 2)
+		for l := range doc.Leaves {
+			doc.Leaves[l].Name = fmt.Sprintf("v%d-%d", i, l)
+		}
+		doc.Snapshots[0] = testSnapshot(doc, 1)
+		v := *r.router.View()
+		v.Services = map[string]*document.Service{"s": doc}
+		r.router.Apply(r.now, &v)
+		r.start("s", figmast.Urgent, 1, time.Second)
+		r.answer(1, leafcall.SnapshotGone)
+		r.answer(len(r.sent), leafcall.OK)
+	}
+	s := r.engine.services["s"]
+	is.True(len(s.leaves) <= 4)
+	is.True(s.marks <= 4)
+}
+
 // Once patience has passed, the coverage that the document names is enough,
 // and a query that cannot reach the least coverage ends at once.
 func TestStopWork(t *testing.T) {
--- a/query/leafqueue.go
+++ b/query/leafqueue.go
@@ -22,6 +22,8 @@
 	ahead [ranks]int
 	// marks tell which servers lack a snapshot.
 	marks []mark
+	// dropped is set once the service no longer has the leaf.
+	dropped bool
 }
 
 func (q *leafQueue) Len() int           { return len(q.parts) }
--- a/query/run.go
+++ b/query/run.go
@@ -93,6 +93,9 @@
 }
 
 func (r *run) scatter(s *document.Snapshot) {
+	if len(r.service.leaves) > len(r.doc.Leaves) {
+		r.service.forgetLeaves(r.doc)
+	}
 	r.parts = make([]part, 0, len(s.Weights))
 	r.got, r.lost, r.total = 0, 0, 0
 	for _, w := range s.Weights {
--- a/query/service.go
+++ b/query/service.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/policy"
 )
 
@@ -60,6 +61,17 @@
 	}
 }
 
+// forgetLeaves drops idle leaves that are no longer in the document.
+func (s *service) forgetLeaves(doc *document.Service) {
+	for name, q := range s.leaves {
+		if len(q.parts) == 0 && doc.Leaf(name) == nil {
+			s.marks -= len(q.marks)
+			q.marks, q.dropped = nil, true
+			delete(s.leaves, name)
+		}
+	}
+}
+
 func (s *service) leaf(name string) *leafQueue {
 	q := s.leaves[name]
 	if q == nil {
--- a/query/snapshot.go
+++ b/query/snapshot.go
@@ -32,6 +32,9 @@
 
 // lacks records that the server said that it does not have the snapshot.
 func (q *leafQueue) lacks(now time.Time, srv *policy.Server, snapshot string) {
+	if q.dropped {
+		return
+	}
 	until := now.Add(goneFor)
 	for i := range q.marks {
 		if m := &q.marks[i]; m.server == srv && m.snapshot == snapshot {
