Connection shares over time in the daemon

Calls made for peers count in the holder's own limits. A call that this side, or the holder, did not or could not send tells nothing of the backend server; a holder that cannot be asked is avoided.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -107,13 +107,13 @@
 	c := p.byAddr[s.Server.Address]
 	p.mu.Unlock()
 	if c == nil {
-		return notSent(s, "connect", errNoConnection)
+		return notSent(s, stepConnect, errNoConnection)
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(s.Linger))
 	defer cancel()
 	cc, err := c.get(ctx)
 	if err != nil {
-		return notSent(s, "connect", err)
+		return notSent(s, stepConnect, err)
 	}
 	now := p.opts.Clock()
 	if s.Guard != nil && !s.Guard(now) {
@@ -124,9 +124,17 @@
 }
 
 func notSent(s leafcall.Send, step string, err error) leafcall.Result {
-	return leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	r := leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	if step != stepConnect || errors.Is(err, errNoConnection) || errors.Is(err, context.Canceled) {
+		r.Blame = leafcall.BlameSelf
+	}
+	return r
 }
 
+// stepConnect is where the backend server may be to blame that nothing was
+// sent.
+const stepConnect = "connect"
+
 func failure(s leafcall.Send, step string, err error) error {
 	return fault.Wrap(fault.Backend, step, s.Server.ID, err)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -154,7 +154,11 @@
 	}
 	switch {
 	case s.view == nil || s.dirty:
-		s.view = &view.View{Self: s.self(), Hosts: s.hosts, Services: s.table.documents()}
+		entry, listed := s.table.hosts[s.members.self.ID]
+		s.view = &view.View{
+			Self: s.self(), Hosts: s.hosts, Services: s.table.documents(),
+			Unlisted: !listed, ListedRevision: entry.revision,
+		}
 		s.dirty = false
 	case longer:
 		next := *s.view
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -77,12 +77,16 @@
 	events := timeline.NewRing(s.Host, timelineSize, time.Now)
 	rec := newRecorder(set, events, logger)
 	rec.view = h.view
-	router := policy.NewRouter(policy.Options{Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))})
+	router := policy.NewRouter(policy.Options{
+		Rand: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())), ShareLag: s.ShareLag,
+	})
 	var last leafcall.ID
 	next := func() leafcall.ID { last++; return last }
 	h.pool = backend.NewPool(backend.Options{Clock: clock.Now, Preopen: true})
 	h.peers = &peers{relayed: set.NewCounter("figmast_relayed_calls_total")}
-	h.peers.carrier = relay.New(relay.Options{Direct: h.pool, Peers: h.peers, Clock: clock.Now, View: h.view})
+	h.peers.carrier = relay.New(relay.Options{
+		Direct: h.pool, Peers: h.peers, Clock: clock.Now, View: h.view, Limits: h.peers,
+	})
 	h.runner = traffic.NewRunner(traffic.Options{
 		Router:  router,
 		Queries: query.NewEngine(query.Options{Router: router, NextCall: next}),
@@ -101,7 +105,7 @@
 	}))
 	o := &ops{
 		settings: s, view: h.control.View, events: events, draining: &h.draining,
-		set: set, report: h.runner.Report, peers: h.peers.stats,
+		set: set, report: h.runner.Report, peers: h.peers.stats, joined: h.runner.Joined,
 	}
 	o.gauges()
 	set.NewGauge("figmast_backend_connections", func() float64 { open, _ := h.pool.Connections(); return float64(open) })
--- a/daemon/ops.go
+++ b/daemon/ops.go
@@ -38,6 +38,8 @@
 	report   func() traffic.Report
 	// peers returns the traffic with other hosts so far.
 	peers func() peer.Stats
+	// joined reports whether the host may hold connections by now.
+	joined func() bool
 }
 
 func (o *ops) handler() http.Handler {
@@ -111,6 +113,8 @@
 		return "no configuration yet"
 	case !v.Valid(clock.Now()):
 		return "the configuration view is stale"
+	case !o.joined():
+		return "other hosts have not yet made room for connections"
 	}
 	return ""
 }
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -13,7 +13,9 @@
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/internal/fault"
+	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/peer"
+	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/relay"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
@@ -56,6 +58,11 @@
 	return answer, nil
 }
 
+// BeginRelayed decides whether this host makes a leaf call for a peer.
+func (p *peers) BeginRelayed(service, leaf, server string) (*policy.Server, func(leafcall.Result), error) {
+	return p.runner.BeginRelayed(service, leaf, server)
+}
+
 // stats returns the traffic with other hosts so far.
 func (p *peers) stats() peer.Stats {
 	if p.transport == nil {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -23,6 +23,7 @@
 	Certificate  string        `arg:"--certificate,env:FIGMAST_CERTIFICATE" help:"PEM text or file of this host's certificate"`
 	Key          string        `arg:"--key,env:FIGMAST_KEY" help:"PEM text or file of this host's key"`
 	Authorities  string        `arg:"--authorities,env:FIGMAST_AUTHORITIES" help:"PEM text or file of the authorities that peers' certificates must have"`
+	ShareLag     time.Duration `arg:"--share-lag,env:FIGMAST_SHARE_LAG" default:"3s" help:"how long hosts may differ on the list of hosts; connections are taken over after twice that"`
 	DrainWait    time.Duration `arg:"--drain-wait,env:FIGMAST_DRAIN_WAIT" default:"5s" help:"how long to stay open while the balancer takes this host out"`
 	DrainLimit   time.Duration `arg:"--drain-limit,env:FIGMAST_DRAIN_LIMIT" default:"30s" help:"how long running requests may take to finish"`
 	TicketLife   time.Duration `arg:"--ticket-lifetime,env:FIGMAST_TICKET_LIFETIME" default:"10m" help:"how long a ticket may be used"`
@@ -53,6 +54,9 @@
 	for _, p := range s.Peers {
 		c.address("--peers", p)
 	}
+	if s.ShareLag < 0 {
+		c.add("--share-lag: %v is below 0", s.ShareLag)
+	}
 	if s.DrainWait < 0 {
 		c.add("--drain-wait: %v is below 0", s.DrainWait)
 	}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -142,7 +142,7 @@
 	env := []string{"FIGMAST_CERTIFICATE=" + pair.CertPEM, "FIGMAST_KEY=" + pair.KeyPEM, "FIGMAST_AUTHORITIES=" + f.authority.PEM}
 	args := []string{
 		"--host", h.id, "--data-centre", dataCentre, "--platform", f.platform,
-		"--caller-listen", h.callers, "--ops-listen", h.ops, "--peer-listen", h.peers, "--drain-wait", "100ms",
+		"--caller-listen", h.callers, "--ops-listen", h.ops, "--peer-listen", h.peers, "--drain-wait", "100ms", "--share-lag", "100ms",
 	}
 	h.process = start(f.t, env, "figmastd", append(args, extra...)...)
 	entry, err := json.Marshal(control.HostEntry{Address: h.peers, DataCentre: dataCentre})
--- a/leafcall/leafcall.go
+++ b/leafcall/leafcall.go
@@ -58,6 +58,16 @@
 	Mismatch            // the answer belongs to another call
 )
 
+// Blame tells who a failure speaks of.
+type Blame int
+
+// Blames. Only BlameServer tells anything of the backend server.
+const (
+	BlameServer Blame = iota
+	BlameSelf         // this host, or the holder, did not or could not send
+	BlameHolder       // the holder could not be asked
+)
+
 // Result is how a call ended.
 type Result struct {
 	Status Status
@@ -71,6 +81,8 @@
 	Sent bool
 	// RetryAfter is when the server wants to be asked again, or 0.
 	RetryAfter time.Duration
+	// Blame tells who a failure speaks of.
+	Blame Blame
 	// Err tells the cause, step and peer of a failure.
 	Err error
 }
--- a/leafcall/observe.go
+++ b/leafcall/observe.go
@@ -4,6 +4,9 @@
 
 // Observed returns what the result tells the policy about the server.
 func (r Result) Observed() policy.Result {
+	if r.Blame != BlameServer {
+		return policy.ResultNoVerdict
+	}
 	switch r.Status {
 	case OK, SnapshotGone, Rejected:
 		return policy.ResultOK
--- a/query/engine.go
+++ b/query/engine.go
@@ -166,20 +166,7 @@
 }
 
 func observe(now time.Time, a *attempt, res leafcall.Result) policy.Observation {
-	o := policy.Observation{Latency: now.Sub(a.sent), Cold: res.Cold, Fingerprint: a.run.fingerprint}
-	switch res.Status {
-	case leafcall.OK, leafcall.SnapshotGone, leafcall.Rejected:
-		o.Result = policy.ResultOK
-	case leafcall.Shed:
-		o.Result = policy.ResultShed
-	case leafcall.NotSent:
-		o.Result = policy.ResultFailed
-	case leafcall.Timeout:
-		o.Result = policy.ResultTimeout
-	case leafcall.Cancelled:
-		o.Result = policy.ResultCancelled
-	default:
-		o.Result = policy.ResultBroken
+	return policy.Observation{
+		Result: res.Observed(), Latency: now.Sub(a.sent), Cold: res.Cold, Fingerprint: a.run.fingerprint,
 	}
-	return o
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,6 +34,15 @@
 	Clock func() time.Time
 	// View returns the view in force, or nil.
 	View func() *view.View
+	// Limits decide about calls that peers ask for.
+	Limits Limits
+}
+
+// Limits keep calls for peers and a host's own within one limit.
+type Limits interface {
+	// BeginRelayed returns the backend server for a peer's call, or why this
+	// host does not make it, and what to call with the result.
+	BeginRelayed(service, leaf, server string) (*policy.Server, func(leafcall.Result), error)
 }
 
 // Carrier makes leaf calls directly, or through the peer that they name. It
@@ -53,7 +62,8 @@
 	}
 	now := c.opts.Clock()
 	if s.Guard != nil && !s.Guard(now) {
-		return leafcall.Result{Status: leafcall.NotSent, Err: relayFault("guard", s, errors.New("the call is no longer allowed"))}
+		err := relayFault("guard", s, errors.New("the call is no longer allowed"))
+		return leafcall.Result{Status: leafcall.NotSent, Blame: leafcall.BlameSelf, Err: err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.Deadline.Sub(now))
 	defer cancel()
@@ -75,7 +85,7 @@
 const stepConnect = "connect"
 
 func unanswered(ctx context.Context, s leafcall.Send, err error) leafcall.Result {
-	r := leafcall.Result{Status: leafcall.Broken, Sent: true, Err: relayFault("relay", s, err)}
+	r := leafcall.Result{Status: leafcall.Broken, Sent: true, Blame: leafcall.BlameHolder, Err: relayFault("relay", s, err)}
 	step, _ := fault.Origin(err)
 	switch {
 	case step == stepConnect:
@@ -83,8 +93,10 @@
 		r.Sent = false
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.Status = leafcall.Timeout
+		r.Blame = leafcall.BlameServer
 	case ctx.Err() != nil:
 		r.Status = leafcall.Cancelled
+		r.Blame = leafcall.BlameServer
 	}
 	return r
 }
@@ -102,6 +114,9 @@
 		Status: leafcall.Status(r.Status), Body: r.Body, Snapshot: r.Snapshot, Cold: r.Cold, Sent: r.Sent,
 		RetryAfter: time.Duration(r.RetryAfterUs) * time.Microsecond,
 	}
+	if r.Self {
+		out.Blame = leafcall.BlameSelf
+	}
 	if r.Error != "" {
 		out.Err = relayFault("relayed", s, errors.New(r.Error))
 	}
@@ -113,7 +128,7 @@
 	res := c.serve(ctx, call)
 	out := &wire.LeafResult{
 		Status: int(res.Status), Body: res.Body, Snapshot: res.Snapshot, Cold: res.Cold, Sent: res.Sent,
-		RetryAfterUs: res.RetryAfter.Microseconds(),
+		RetryAfterUs: res.RetryAfter.Microseconds(), Self: res.Blame != leafcall.BlameServer,
 	}
 	if res.Err != nil {
 		out.Error = res.Err.Error()
@@ -122,38 +137,16 @@
 }
 
 func (c *Carrier) serve(ctx context.Context, call *wire.LeafCall) leafcall.Result {
-	v := c.opts.View()
-	srv, err := find(v, call)
+	srv, end, err := c.opts.Limits.BeginRelayed(call.Service, call.Leaf, call.Server)
 	if err != nil {
-		return leafcall.Result{Status: leafcall.NotSent, Err: fault.Wrap(fault.Peer, "serve", v.SelfID(), err)}
+		return leafcall.Result{Status: leafcall.NotSent, Blame: leafcall.BlameSelf, Err: fault.Wrap(fault.Peer, "serve", call.Server, err)}
 	}
 	deadline := c.opts.Clock().Add(time.Duration(call.LeftUs) * time.Microsecond)
-	return c.opts.Direct.Call(ctx, leafcall.Send{
+	res := c.opts.Direct.Call(ctx, leafcall.Send{
 		ID: leafcall.ID(call.ID), Server: srv, RequestID: call.RequestID, Operation: call.Operation,
 		Snapshot: call.Snapshot, Payload: call.Payload, Command: call.Command, Deadline: deadline,
 		Guard: func(now time.Time) bool { return c.opts.View().Valid(now) && now.Before(deadline) },
 	})
-}
-
-// find returns the backend server that the call names, unless this host's
-// view forbids new work for it.
-func find(v *view.View, call *wire.LeafCall) (*policy.Server, error) {
-	if v == nil || v.Services[call.Service] == nil {
-		return nil, errors.New("unknown service " + call.Service)
-	}
-	doc := v.Services[call.Service]
-	l := doc.Leaf(call.Leaf)
-	if l == nil {
-		return nil, errors.New("unknown leaf " + call.Leaf)
-	}
-	for _, s := range l.Servers {
-		if s.ID != call.Server {
-			continue
-		}
-		if s.Leaving || doc.Out(s.DataCentre) {
-			return nil, errors.New("no new work for " + s.ID)
-		}
-		return &policy.Server{Service: doc.Name, Leaf: l.Name, ID: s.ID, Address: s.Address, DataCentre: s.DataCentre}, nil
-	}
-	return nil, errors.New("unknown backend server " + call.Server)
+	end(res)
+	return res
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -27,11 +29,15 @@
 	address string
 	view    *view.View
 	direct  *backend.Pool
+	router  *policy.Router
 }
 
 func startHolder(t testing.TB, authority *certs.Authority) *holder {
 	t.Helper()
-	h := &holder{server: fake.NewBackend("s1")}
+	h := &holder{
+		server: fake.NewBackend("s1"),
+		router: policy.NewRouter(policy.Options{Rand: rand.New(rand.NewPCG(1, 1))}),
+	}
 	hs := httptest.NewServer(h.server)
 	t.Cleanup(hs.Close)
 	h.target = &policy.Server{Service: "billing", Leaf: "a", ID: "s1", Address: hs.Listener.Addr().String(), DataCentre: "dc-1"}
@@ -39,20 +45,31 @@
 	h.direct = backend.NewPool(backend.Options{Clock: time.Now})
 	t.Cleanup(h.direct.Close)
 	h.direct.Apply([]policy.Share{{Server: h.target, Connections: 16, Protocol: document.HTTP1}})
-	c := relay.New(relay.Options{Direct: h.direct, Clock: time.Now, View: func() *view.View { return h.view }})
+	c := relay.New(relay.Options{Direct: h.direct, Clock: time.Now, View: func() *view.View { return h.view }, Limits: h})
 	tr := listen(t, authority, func(ctx context.Context, m *wire.Message) *wire.Message { return c.Serve(ctx, m.LeafCall) })
 	h.address = tr.Address()
 	return h
 }
 
 func (h *holder) setView(out bool, until time.Time) {
-	doc := &document.Service{Name: "billing", Leaves: []document.Leaf{{Name: "a", Servers: []document.Server{
+	doc := &document.Service{Name: "billing", Leaves: []document.Leaf{{Name: "a", Slots: 1, Connections: 16, Servers: []document.Server{
 		{ID: "s1", Address: h.target.Address, DataCentre: "dc-1"},
 	}}}}
 	if out {
 		doc.DataCentresOut = []string{"dc-1"}
 	}
-	h.view = &view.View{Self: view.Host{ID: "holder"}, Services: map[string]*document.Service{"billing": doc}, ValidUntil: until}
+	self := view.Host{ID: "holder", DataCentre: "dc-1"}
+	h.view = &view.View{Self: self, Hosts: []view.Host{self}, Services: map[string]*document.Service{"billing": doc}, ValidUntil: until}
+}
+
+// BeginRelayed decides by a Router on the holder's view.
+func (h *holder) BeginRelayed(service, leaf, server string) (*policy.Server, func(leafcall.Result), error) {
+	h.router.Apply(time.Now(), h.view)
+	srv, reason := h.router.Relay(time.Now(), service, leaf, server)
+	if srv == nil {
+		return nil, nil, errors.New(string(reason))
+	}
+	return srv, func(leafcall.Result) {}, nil
 }
 
 func listen(t testing.TB, authority *certs.Authority, h peer.Handler) *peer.Transport {
--- a/traffic/renew.go
+++ b/traffic/renew.go
@@ -6,7 +6,8 @@
 // long it may be acted on.
 func (r *Runner) RenewView(v *view.View) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.opts.Router.Renew(v)
 	r.view.Store(v)
+	r.mu.Unlock()
+	r.advance()
 }
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -225,18 +225,25 @@
 func (r *Runner) Run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	shares := time.NewTicker(advanceEvery)
+	defer shares.Stop()
 	for {
 		timer.Reset(r.untilNext())
 		select {
 		case <-r.stop:
 			return
 		case <-r.wake:
+		case <-shares.C:
+			r.advance()
 		case <-timer.C:
 			r.tick()
 		}
 	}
 }
 
+// advanceEvery is how often shares of connections are looked at.
+const advanceEvery = 250 * time.Millisecond
+
 // idleTick is how long Run sleeps when no query waits, so that commands'
 // claims are still forgotten in time.
 const idleTick = time.Second
@@ -355,6 +362,9 @@
 	defer r.mu.Unlock()
 	delete(r.calls, s.ID)
 	now := r.opts.Clock()
+	if res.Blame == leafcall.BlameHolder {
+		r.opts.Router.HolderFailed(now, s.Via.ID)
+	}
 	if s.Command {
 		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
 		return
--- a/wire/leafcall.go
+++ b/wire/leafcall.go
@@ -26,4 +26,6 @@
 	// microseconds, or 0.
 	RetryAfterUs int64  `cbor:"6,keyasint,omitempty"`
 	Error        string `cbor:"7,keyasint,omitempty"`
+	// Self is set when the holder did not or could not send the call.
+	Self bool `cbor:"8,keyasint,omitempty"`
 }
