No call to a data centre that went out between the pick and the write

Cause: a host that was stopped between picking a backend server and writing the call woke, got the new view within milliseconds, and passed the guard, which asked only whether the view in force is valid.

The guard now asks whether the view in force has the very server take work (view.MayCall), and is asked once more when net/http reads the body, on the goroutine that writes. What is left is a stop between that read and the system call.

--- a/backend/pool.go
+++ b/backend/pool.go
@@ -113,9 +113,10 @@
 	now := p.opts.Clock()
 	if s.Guard != nil && !s.Guard(now) {
 		cc.Release()
-		return notSent(s, "guard", errors.New("the call is no longer allowed"))
+		return notSent(s, "guard", errGuard)
 	}
-	return roundTrip(ctx, cc, s, s.Deadline.Sub(now))
+	body := &guardedBody{Reader: bytes.NewReader(s.Payload), guard: s.Guard, clock: p.opts.Clock}
+	return roundTrip(ctx, cc, s, body, s.Deadline.Sub(now))
 }
 
 func notSent(s leafcall.Send, step string, err error) leafcall.Result {
@@ -126,8 +127,8 @@
 	return fault.Wrap(fault.Backend, step, s.Server.ID, err)
 }
 
-func roundTrip(ctx context.Context, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
-	req, err := newRequest(ctx, s, left)
+func roundTrip(ctx context.Context, cc *http.ClientConn, s leafcall.Send, body *guardedBody, left time.Duration) leafcall.Result {
+	req, err := newRequest(ctx, s, body, left)
 	if err != nil {
 		cc.Release()
 		return notSent(s, "encode", err)
@@ -137,28 +138,29 @@
 		return failed(ctx, s, "send", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return failed(ctx, s, "receive", err)
 	}
-	if len(body) > MaxAnswerBytes {
+	if len(answer) > MaxAnswerBytes {
 		return leafcall.Result{Status: leafcall.Rejected, Sent: true, Err: failure(s, "receive", errors.New("the answer is too large"))}
 	}
-	return result(s, resp, body)
+	return result(s, resp, answer)
 }
 
-func newRequest(ctx context.Context, s leafcall.Send, left time.Duration) (*http.Request, error) {
+func newRequest(ctx context.Context, s leafcall.Send, body *guardedBody, left time.Duration) (*http.Request, error) {
 	path := PathQuery
 	if s.Command {
 		path = PathCommand
 	}
 	url := "http://" + s.Server.Address + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(s.Payload))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
 	if err != nil {
 		return nil, err
 	}
 	// A connection that breaks must not make net/http send the call again.
 	req.GetBody = nil
+	req.ContentLength = int64(len(s.Payload))
 	h := req.Header
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderAttempt, attemptID(s))
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -16,8 +16,9 @@
 	// hosts were known to have heard neither the platform nor anything newer.
 	MaxWitnessAge = 5 * time.Second
 	// deafAfter is the age of a confirmation at which a host counts as not
-	// hearing the platform and looks for witnesses.
-	deafAfter = 1500 * time.Millisecond
+	// hearing the platform: it asks the platform itself and looks for
+	// witnesses.
+	deafAfter = time.Second
 )
 
 // witnessUnit is the unit of Answer.Witnesses, and unknownAge marks hosts
--- a/control/reader.go
+++ b/control/reader.go
@@ -10,11 +10,9 @@
 const (
 	// checkEvery is how often a watcher asks for the newest revision.
 	checkEvery = 500 * time.Millisecond
-	// lateEvery is how often any other host does while it hears of the
+	// deafEvery is how often any other host does while it hears of the
 	// platform through no peer.
-	lateEvery = time.Second
-	// lateAfter is the age of a confirmation from which it does.
-	lateAfter = time.Second
+	deafEvery = time.Second
 	// CheckTimeout and ReadTimeout bound the two calls.
 	CheckTimeout = time.Second
 	ReadTimeout  = 5 * time.Second
@@ -35,18 +33,17 @@
 func (s *State) readPlatform(now time.Time) {
 	r := &s.reader
 	watcher := s.watches(now)
-	late := now.Sub(s.confirmed) > lateAfter
-	if r.calling || now.Before(r.nextCall) || !watcher && !late {
+	if r.calling || now.Before(r.nextCall) || !watcher && !s.Deaf(now) {
 		return
 	}
 	r.calling = true
 	if !r.loaded || r.behind > s.table.revision {
 		s.out.Read = true
-		r.nextCall = now.Add(lateEvery)
+		r.nextCall = now.Add(deafEvery)
 		return
 	}
 	s.out.Check = true
-	r.nextCall = now.Add(lateEvery)
+	r.nextCall = now.Add(deafEvery)
 	if watcher {
 		r.nextCall = now.Add(checkEvery)
 	}
--- a/control/relay.go
+++ b/control/relay.go
@@ -43,9 +43,11 @@
 	asks   map[uint64]*asked
 	// ranks are the hosts of each data centre by rendezvous rank, and ranked
 	// is unset when they are out of date.
-	ranked  bool
-	leader  view.Host
-	leads   bool
+	ranked bool
+	leader view.Host
+	leads  bool
+	// heard is the id of the last leader that answered.
+	heard   string
 	watcher bool
 	// leaderFree is when the leader may be asked again.
 	leaderFree time.Time
@@ -169,7 +171,7 @@
 	if r.leads && !r.leaderBusy && !now.Before(r.leaderFree) {
 		r.leaderBusy = true
 		r.leaderFree = now.Add(leastPause)
-		s.send(now, asked{to: r.leader, leader: true}, s.hold(now))
+		s.send(now, asked{to: r.leader, leader: true}, s.hold())
 	}
 	if now.Sub(r.lastRandom) < s.randomPause(now) {
 		return
@@ -180,18 +182,16 @@
 	}
 }
 
-// hold is how long the leader may hold a question: not while it may hear the
-// platform and this host does not.
-func (s *State) hold(now time.Time) time.Duration {
-	late := now.Sub(s.confirmed) > lateAfter && !s.Deaf(now)
-	if late || !s.fresh.done {
+// hold is how long the leader may hold a question: not the first one.
+func (s *State) hold() time.Duration {
+	if s.relay.heard != s.relay.leader.ID || !s.fresh.done {
 		return 0
 	}
 	return holdFor
 }
 
 func (s *State) randomPause(now time.Time) time.Duration {
-	if !s.fresh.done || now.Sub(s.confirmed) > lateAfter {
+	if !s.fresh.done || s.Deaf(now) {
 		return searchEvery
 	}
 	return repairEvery
@@ -323,6 +323,9 @@
 	}
 	s.hear(now, in.From, in.Members)
 	s.members.alive(in.From.ID)
+	if q.leader {
+		s.relay.heard = q.to.ID
+	}
 	s.learnSuspicions(now, in.Suspicions)
 	missing := s.merge(now, in)
 	s.confirmBy(q.at, in)
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -25,14 +25,16 @@
 // world is some hosts, the platform and the network between them, in virtual
 // time.
 type world struct {
-	now    time.Time
-	rand   *rand.Rand
-	nodes  map[string]*node
-	ids    []string
-	queue  map[int64][]delivery
-	dead   map[string]bool
-	cuts   map[[2]string]bool
-	loss   float64
+	now   time.Time
+	rand  *rand.Rand
+	nodes map[string]*node
+	ids   []string
+	queue map[int64][]delivery
+	dead  map[string]bool
+	cuts  map[[2]string]bool
+	loss  float64
+	// sent is told of each message between hosts, if set.
+	sent   func(from, to string, message any)
 	asks   int
 	calls  int
 	events []observed
@@ -305,6 +307,9 @@
 		return
 	}
 	from, ask := n.id, q.Ask
+	if w.sent != nil {
+		w.sent(from, to, ask)
+	}
 	w.after(oneWay, to, func(peer *node) {
 		peer.token++
 		peer.pending[peer.token] = asker{from, q.ID}
@@ -318,6 +323,9 @@
 	if !w.passes(n.id, to.id) {
 		return
 	}
+	if w.sent != nil {
+		w.sent(n.id, to.id, r.Answer)
+	}
 	w.after(oneWay, to.id, func(peer *node) { peer.state.Answered(w.now, to.ask, &r.Answer) })
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,9 +83,18 @@
 	peers   string
 }
 
+// subnets counts the parts of loopback given out, so that tests which run at
+// the same time do not take each other's ports.
+var subnets atomic.Int64
+
+// subnet returns the first three numbers, with a dot, of unused addresses on
+// loopback.
+func subnet() string { return fmt.Sprintf("127.1.%d.", subnets.Add(1)) }
+
 // fleet is a running set of processes.
 type fleet struct {
 	t         *testing.T
+	subnet    string
 	authority *certs.Authority
 	platform  string
 	hosts     []*host
@@ -106,7 +116,8 @@
 	is := is.New(t)
 	authority, err := certs.NewAuthority()
 	is.NoErr(err)
-	f := &fleet{t: t, authority: authority, platform: free(t, "127.0.0.1")}
+	net := subnet()
+	f := &fleet{t: t, subnet: net, authority: authority, platform: free(t, net+"1")}
 	start(t, nil, "figmast-fake", "platform", "--listen", f.platform)
 	waitFor(t, "the platform", func() bool { return dials(f.platform) })
 	return f
@@ -147,29 +158,33 @@
 // publish puts a value at the platform, as an operator would.
 func (f *fleet) publish(key string, value []byte) {
 	f.t.Helper()
-	body, err := json.Marshal(fake.PutRequest{Key: []byte(key), Value: value})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	resp, err := http.Post("http://"+f.platform+fake.PathPut, "application/json", bytes.NewReader(body))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	_ = resp.Body.Close()
+	var answer platform.RangeResponse
+	post(f.t, "http://"+f.platform+fake.PathPut, fake.PutRequest{Key: []byte(key), Value: value}, &answer)
+}
+
+// setMode changes how the platform behaves.
+func (f *fleet) setMode(m fake.Mode) fake.State {
+	f.t.Helper()
+	var s fake.State
+	post(f.t, "http://"+f.platform+fake.PathMode, m, &s)
+	return s
 }
 
 func (f *fleet) waitReady() {
 	f.t.Helper()
 	for _, h := range f.hosts {
-		waitFor(f.t, h.id+" to be ready", func() bool {
-			resp, err := http.Get("http://" + h.ops + "/readyz")
-			if err != nil {
-				return false
-			}
-			defer resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
+		waitFor(f.t, h.id+" to be ready", h.ready)
+	}
+}
+
+// ready reports whether the host tells the balancer that it serves.
+func (h *host) ready() bool {
+	resp, err := http.Get("http://" + h.ops + "/readyz")
+	if err != nil {
+		return false
 	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
 }
 
 // waitFor polls until the condition holds.
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -34,8 +34,9 @@
 func startBackends(t *testing.T, n int) []string {
 	t.Helper()
 	var servers []string
+	ip := subnet() + "1"
 	for i := range n {
-		servers = append(servers, fmt.Sprintf("s%d=%s", i, free(t, "127.0.0.1")))
+		servers = append(servers, fmt.Sprintf("s%d=%s", i, free(t, ip)))
 	}
 	start(t, nil, "figmast-fake", append([]string{"backend"}, servers...)...)
 	for _, s := range servers {
@@ -111,6 +112,18 @@
 func commandsRun(t *testing.T, servers []string) int {
 	t.Helper()
 	n := 0
+	for _, e := range executions(t, servers) {
+		if e.Command {
+			n++
+		}
+	}
+	return n
+}
+
+// executions returns what backend servers ran.
+func executions(t *testing.T, servers []string) []fake.Execution {
+	t.Helper()
+	var all []fake.Execution
 	for _, s := range servers {
 		resp, err := http.Get("http://" + backendAddress(s) + fake.PathExecutions)
 		if err != nil {
@@ -122,11 +135,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, e := range list {
-			if e.Command {
-				n++
-			}
-		}
+		all = append(all, list...)
 	}
-	return n
+	return all
 }
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := template("figmast test authority")
+	t := template("figmast test authority", lifetime)
 	t.IsCA = true
 	t.BasicConstraintsValid = true
 	t.KeyUsage |= x509.KeyUsageCertSign
@@ -53,12 +53,16 @@
 }
 
 // Host returns a certificate for a host at that IP number.
-func (a *Authority) Host(name, ip string) (Pair, error) {
+func (a *Authority) Host(name, ip string) (Pair, error) { return a.HostFor(name, ip, lifetime) }
+
+// HostFor returns a certificate for a host at that IP number, with a lifetime
+// from now on.
+func (a *Authority) HostFor(name, ip string, lifetime time.Duration) (Pair, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return Pair{}, err
 	}
-	t := template(name)
+	t := template(name, lifetime)
 	t.IPAddresses = []net.IP{net.ParseIP(ip)}
 	t.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
 	der, err := x509.CreateCertificate(rand.Reader, t, a.cert, &key.PublicKey, a.key)
@@ -72,7 +76,7 @@
 	return Pair{CertPEM: encode("CERTIFICATE", der), KeyPEM: encode("PRIVATE KEY", private)}, nil
 }
 
-func template(name string) *x509.Certificate {
+func template(name string, lifetime time.Duration) *x509.Certificate {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
 	if err != nil {
 		panic(err) // the system's random source never fails
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -18,6 +18,26 @@
 	PathDelete = "/v3/kv/deleterange"
 )
 
+// PathMode is where tests set the mode of the stand-in platform; the answer
+// is its State.
+const PathMode = "/fake/mode"
+
+// Mode is how the stand-in platform behaves.
+type Mode struct {
+	// Down makes every read fail, and breaks watches.
+	Down bool `json:"down,omitempty"`
+	// Stale makes every read answer from this revision, if not 0, and watches
+	// bring nothing later.
+	Stale int64 `json:"stale,omitempty"`
+}
+
+// State is what tests may know of the stand-in platform.
+type State struct {
+	Revision int64 `json:"revision"`
+	// Calls have arrived so far; a watch counts as one.
+	Calls int64 `json:"calls"`
+}
+
 // PutRequest publishes a value.
 type PutRequest struct {
 	Key   []byte `json:"key"`
@@ -37,7 +57,7 @@
 	history  []platform.Event
 	changed  chan struct{}
 	calls    int64
-	down     bool
+	mode     Mode
 }
 
 // NewPlatform returns an empty platform at revision 1.
@@ -79,36 +99,22 @@
 	p.changed = make(chan struct{})
 }
 
-// SetDown makes every call fail, and breaks watches, until it is up again.
-func (p *Platform) SetDown(down bool) {
+// SetMode changes how the platform behaves and returns its state.
+func (p *Platform) SetMode(m Mode) State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.down = down
+	p.mode = m
 	p.wake()
-}
-
-// Calls returns how many calls have arrived; a watch counts as one.
-func (p *Platform) Calls() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
+	return State{Revision: p.revision, Calls: p.calls}
 }
 
 // ServeHTTP serves the platform's protocol.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	p.calls++
-	down := p.down
-	p.mu.Unlock()
-	if down {
-		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-		return
-	}
 	switch r.URL.Path {
-	case platform.PathRange:
-		serve(w, r, p.readRange)
-	case platform.PathWatch:
-		p.watch(w, r)
+	case platform.PathRange, platform.PathWatch:
+		p.serveReader(w, r)
+	case PathMode:
+		serve(w, r, func(m Mode) any { return p.SetMode(m) })
 	case PathPut:
 		serve(w, r, func(q PutRequest) any { return header(p.Put(string(q.Key), q.Value)) })
 	case PathDelete:
@@ -118,6 +124,22 @@
 	}
 }
 
+// serveReader serves the calls that the platform counts.
+func (p *Platform) serveReader(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	p.calls++
+	down := p.mode.Down
+	p.mu.Unlock()
+	switch {
+	case down:
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+	case r.URL.Path == platform.PathRange:
+		serve(w, r, p.readRange)
+	default:
+		p.watch(w, r)
+	}
+}
+
 func header(revision int64) platform.RangeResponse {
 	return platform.RangeResponse{Header: platform.Header{Revision: platform.Int64(revision)}}
 }
@@ -135,8 +157,9 @@
 func (p *Platform) readRange(q platform.RangeRequest) any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := header(p.revision)
-	for key, kv := range p.values {
+	revision, values := p.shown()
+	out := header(revision)
+	for key, kv := range values {
 		if !within([]byte(key), q.Key, q.RangeEnd) {
 			continue
 		}
@@ -149,6 +172,26 @@
 	return out
 }
 
+// shown returns the revision and the values that reads are answered from. The
+// caller holds mu.
+func (p *Platform) shown() (int64, map[string]platform.KeyValue) {
+	if p.mode.Stale == 0 {
+		return p.revision, p.values
+	}
+	values := make(map[string]platform.KeyValue)
+	for _, e := range p.history {
+		key := string(e.Kv.Key)
+		switch {
+		case int64(e.Kv.ModRevision) > p.mode.Stale:
+		case e.Type == platform.EventDelete:
+			delete(values, key)
+		default:
+			values[key] = e.Kv
+		}
+	}
+	return p.mode.Stale, values
+}
+
 func within(key, from, to []byte) bool {
 	if len(to) == 0 {
 		return bytes.Equal(key, from)
@@ -194,10 +237,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var events []platform.Event
+	until, _ := p.shown()
 	for _, e := range p.history {
-		if int64(e.Kv.ModRevision) >= from && within(e.Kv.Key, q.Key, q.RangeEnd) {
+		at := int64(e.Kv.ModRevision)
+		if at >= from && at <= until && within(e.Kv.Key, q.Key, q.RangeEnd) {
 			events = append(events, e)
 		}
 	}
-	return events, p.revision, p.changed, p.down
+	return events, max(until, from-1), p.changed, p.mode.Down
 }
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -236,7 +236,7 @@
 func (r *Runner) send(s leafcall.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancels[s.ID] = cancel
-	s.Guard = r.guard(s.Guard)
+	s.Guard = r.guard(s.Server, s.Guard)
 	r.working.Add(1)
 	go func() {
 		defer r.working.Done()
@@ -246,15 +246,17 @@
 	}()
 }
 
-// guard adds the check that the view in force may still be acted on.
-func (r *Runner) guard(also func(time.Time) bool) func(time.Time) bool {
+// guard adds the check that the view in force may be acted on and still has
+// the server take work; it may be another view than the one the server was
+// picked from.
+func (r *Runner) guard(srv *policy.Server, also func(time.Time) bool) func(time.Time) bool {
 	return func(now time.Time) bool {
 		if also != nil && !also(now) {
 			return false
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.opts.Router.View().Valid(now)
+		return r.opts.Router.View().MayCall(now, srv.Service, srv.Leaf, srv.ID)
 	}
 }
 
--- a/view/view.go
+++ b/view/view.go
@@ -42,6 +42,26 @@
 	return v != nil && now.Before(v.ValidUntil)
 }
 
+// MayCall reports whether work may be sent to a backend server at that time:
+// the view is valid and its document holds the server, neither leaving nor in
+// a data centre that is out.
+func (v *View) MayCall(now time.Time, service, leaf, server string) bool {
+	if !v.Valid(now) || v.Services[service] == nil {
+		return false
+	}
+	doc := v.Services[service]
+	l := doc.Leaf(leaf)
+	if l == nil {
+		return false
+	}
+	for _, s := range l.Servers {
+		if s.ID == server {
+			return !s.Leaving && !doc.Out(s.DataCentre)
+		}
+	}
+	return false
+}
+
 // Host returns the host with that id.
 func (v *View) Host(id string) (Host, bool) {
 	for _, h := range v.Hosts {
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,141 @@
+package wire
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/control"
+	"github.com/figmast/figmast/timeline"
+	"github.com/figmast/figmast/view"
+)
+
+// samples are messages of each kind.
+func samples() []*Message {
+	return []*Message{
+		{Ask: &control.Ask{From: control.Member{ID: "a", Address: "10.0.0.1:1", Incarnation: 3}, Revision: 9, Want: []string{"s"}}},
+		{Answer: &control.Answer{Revision: 9, Services: []control.ServiceDigest{{Name: "s", Packed: []byte("x")}}, Witnesses: []byte{1, 255}}},
+		{Forward: &Forward{RequestID: "r", Service: "s", Command: figmast.CommandRequest{Operation: "book"}, LeftMs: 5}},
+		{Outcome: &Outcome{Answer: &figmast.CommandAnswer{}}},
+		{Failure: &Failure{Step: "serve", Detail: "no"}, Stamp: timeline.Stamp{Wall: 5, Counter: 1}},
+	}
+}
+
+func encoded(t testing.TB, m *Message) []byte {
+	t.Helper()
+	b, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	for _, m := range samples() {
+		first := encoded(t, m)
+		out, err := Decode(first)
+		is.NoErr(err)
+		is.Equal(encoded(t, out), first)
+	}
+}
+
+func TestRefused(t *testing.T) {
+	later, err := cbor.Marshal(map[int]any{1: Version + 1, 4: map[int]any{1: "a", 2: "b"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	two := encoded(t, &Message{Failure: &Failure{}, Ask: &control.Ask{}})
+	for name, b := range map[string][]byte{
+		"empty": nil, "another version": later, "no body": encoded(t, &Message{}), "two bodies": two,
+		"too large": make([]byte, MaxBytes+1), "endless": {0xbf}, "no message": []byte("GET / HTTP/1.1"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Decode(b)
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestUnknownFieldsPass lets a later release of the same version add fields.
+func TestUnknownFieldsPass(t *testing.T) {
+	is := is.New(t)
+	b, err := cbor.Marshal(map[int]any{1: Version, 4: map[int]any{1: "step", 2: "detail", 99: "new"}, 98: 1})
+	is.NoErr(err)
+	m, err := Decode(b)
+	is.NoErr(err)
+	is.Equal(m.Failure.Step, "step")
+}
+
+// TestMalformed decodes 10,000 random and damaged messages, and hands what
+// decodes to control state.
+func TestMalformed(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	state := newState()
+	for i := range 10_000 {
+		m, err := Decode(damaged(t, r, i))
+		if err != nil {
+			refused++
+			continue
+		}
+		take(state, m, uint64(i))
+	}
+	t.Logf("%d of 10000 refused", refused)
+}
+
+func newState() *control.State {
+	return control.NewState(control.Options{Self: view.Host{ID: "self"}, Seeds: []string{"10.0.0.2:1"}, Rand: rand.New(rand.NewPCG(1, 2))})
+}
+
+// take hands a message to control state as a peer's question or answer.
+func take(s *control.State, m *Message, n uint64) {
+	now := time.Unix(int64(n), 0)
+	if m.Ask != nil {
+		s.Asked(now, n, m.Ask)
+	}
+	asks := s.Tick(now).Asks
+	for _, q := range asks {
+		if m.Answer != nil {
+			s.Answered(now, q.ID, m.Answer)
+		}
+	}
+	s.Tick(now)
+}
+
+func damaged(t testing.TB, r *rand.Rand, i int) []byte {
+	list := samples()
+	b := bytes.Clone(encoded(t, list[i%len(list)]))
+	if i%3 == 0 {
+		b = make([]byte, 1+r.IntN(200))
+	}
+	for range 1 + r.IntN(3) {
+		b[r.IntN(len(b))] = byte(r.Uint32())
+	}
+	if i%7 == 0 {
+		b = b[:r.IntN(len(b)+1)]
+	}
+	return b
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		f.Add(encoded(f, m))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		take(newState(), m, 1)
+		if _, err := Decode(encoded(t, m)); err != nil {
+			t.Fatalf("%x decodes, but not once encoded again: %v", b, err)
+		}
+	})
+}
