--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -156,7 +156,7 @@
 // in 24 s, and reports what a host exchanges with others.
 func BenchmarkRelay(b *testing.B) {
 	for _, mode := range []string{"platform up", "platform down"} {
-		for _, hosts := range []int{9, 63, 225} {
+		for _, hosts := range []int{9, 63, 225, 621} {
 			b.Run(fmt.Sprintf("%s/hosts=%d", mode, hosts), func(b *testing.B) {
 				for b.Loop() {
 					runRelay(b, hosts, mode == "platform down")
--- a/control/relay.go
+++ b/control/relay.go
@@ -14,7 +14,7 @@
 	// watchersPerCentre is how many hosts of a data centre watch the platform.
 	watchersPerCentre = 2
 	// fanOut is how many hosts of its data centre follow one host.
-	fanOut = 8
+	fanOut = 6
 	// holdFor is how long a peer may hold a follower's question; a newer word
 	// from the platform by relayStep ends that too, so that it passes down the
 	// tree without waiting at each host.
--- a/control/state.go
+++ b/control/state.go
@@ -46,6 +46,7 @@
 	until    time.Time
 	viewOf   uint64
 	dirty    bool
+	nextTidy time.Time
 	refusals map[string]int64
 	out      Actions
 }
@@ -118,9 +119,15 @@
 // TickEvery is the longest time between two Ticks.
 const TickEvery = 50 * time.Millisecond
 
+// tidyEvery is how often what has expired is looked for.
+const tidyEvery = time.Second
+
 func (s *State) tidy(now time.Time) {
-	s.members.tidy(now, s.Deaf(now), s.table.hosts)
-	s.suspects.tidy(now)
+	if !now.Before(s.nextTidy) {
+		s.nextTidy = now.Add(tidyEvery)
+		s.members.tidy(now, s.Deaf(now), s.table.hosts)
+		s.suspects.tidy(now)
+	}
 	if s.members.changed || s.viewOf != s.table.hash() {
 		s.hosts = s.members.picture(s.table.hosts)
 		s.viewOf = s.table.hash()
