--- a/daemon/host.go
+++ b/daemon/host.go
@@ -105,7 +105,7 @@
 	}))
 	o := &ops{
 		settings: s, view: h.control.View, events: events, draining: &h.draining,
-		set: set, report: h.runner.Report, peers: h.peers.stats, joined: h.runner.Joined,
+		set: set, report: h.runner.Report, peers: h.peers.stats, settled: h.runner.Settled,
 	}
 	o.gauges()
 	set.NewGauge("figmast_backend_connections", func() float64 { open, _ := h.pool.Connections(); return float64(open) })
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -229,14 +229,5 @@
 
 // platformCalls returns how many calls the platform has had.
 func (f *fleet) platformCalls() int64 {
-	resp, err := http.Get("http://" + f.platform + fake.PathCalls)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	var n int64
-	if err := json.NewDecoder(resp.Body).Decode(&n); err != nil {
-		f.t.Fatal(err)
-	}
-	return n
+	return f.setMode(fake.Mode{}).Calls
 }
--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -58,7 +58,7 @@
 	for i := range s.hosts {
 		old := s.hosts[i]
 		fresh := s.fleet.addHost(fmt.Sprintf("127.0.1.%d", i+2), centre(i), "--drain-wait", drainWait)
-		waitFor(t, "the new host", func() bool { return isReady(fresh) })
+		waitFor(t, "the new host", fresh.ready)
 		s.mu.Lock()
 		s.hosts[i] = fresh
 		s.mu.Unlock()
--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -83,6 +83,9 @@
 	walk = func(t reflect.Type, place string) {
 		for i := range t.NumField() {
 			f := t.Field(i)
+			if !f.IsExported() {
+				continue // no field of the format
+			}
 			at := strings.TrimPrefix(place+"."+f.Tag.Get("yaml"), ".")
 			names = append(names, "| `"+at+"` |")
 			switch {
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -125,6 +125,11 @@
 	return m.listed && !m.host.Leaving && (m.first == f.began || at-m.first >= f.joinWait())
 }
 
+// hasHolders reports whether any other host can be taken to hold connections.
+func (f *fleet) hasHolders(at time.Duration) bool {
+	return slices.ContainsFunc(f.members, func(m *member) bool { return m != f.self && f.established(at, m) })
+}
+
 // absent returns the other members that take no new work.
 func (f *fleet) absent() []*member {
 	var list []*member
--- a/traffic/relayed.go
+++ b/traffic/relayed.go
@@ -27,16 +27,16 @@
 	return srv, end, nil
 }
 
-// Joined reports whether this host may hold connections by now; if so, its
-// shares are in force.
-func (r *Runner) Joined() bool {
+// Settled reports whether this host can serve by now; if so, its shares are in
+// force.
+func (r *Runner) Settled() bool {
 	r.mu.Lock()
-	joined := r.opts.Router.Joined(r.opts.Clock())
+	settled := r.opts.Router.Settled(r.opts.Clock())
 	r.mu.Unlock()
-	if joined {
+	if settled {
 		r.advance()
 	}
-	return joined
+	return settled
 }
 
 // advance lets shares of connections grow, or lapse, with time.
