--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -49,28 +50,29 @@
 
 // Apply sets the shares of connections in force.
 func (p *Pool) Apply(shares []policy.Share) {
+	limits := make(map[connsKey]int, len(shares))
+	for _, s := range shares {
+		limits[keyOf(s)] += s.Connections
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := make(map[connsKey]*conns, len(shares))
-	byAddr := make(map[string]*conns, len(shares))
-	for _, s := range shares {
-		key := keyOf(s)
-		c := p.servers[key]
-		if c == nil {
-			c = newConns(s.Server.Address, s.Protocol)
+	for key := range limits {
+		if p.servers[key] == nil {
+			p.servers[key] = newConns(p.ctx, key.address, key.protocol)
 		}
-		c.setLimit(s.Connections)
-		next[key] = c
-		byAddr[key.address] = c
 	}
+	p.byAddr = make(map[string]*conns, len(limits))
 	for key, c := range p.servers {
-		if next[key] == nil {
-			c.close()
+		n, wanted := limits[key]
+		c.setLimit(n)
+		if wanted {
+			p.byAddr[key.address] = c
+		} else if c.unused() {
+			delete(p.servers, key)
 		}
 	}
-	p.servers, p.byAddr = next, byAddr
 	if p.opts.Preopen {
-		p.fill(byAddr)
+		p.fill(p.byAddr)
 	}
 }
 
@@ -79,7 +81,7 @@
 		p.filling.Add(1)
 		go func() {
 			defer p.filling.Done()
-			for c.fill(p.ctx) {
+			for c.openOne() == nil {
 			}
 		}()
 	}
@@ -89,11 +91,14 @@
 func (p *Pool) Close() {
 	p.cancel()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, c := range p.servers {
 		c.close()
 	}
-	p.mu.Unlock()
 	p.filling.Wait()
+	for _, c := range p.servers {
+		c.drain()
+	}
 }
 
 // Call makes one call. It returns when the call has ended or ctx is done.
@@ -102,42 +107,45 @@
 	c := p.byAddr[s.Server.Address]
 	p.mu.Unlock()
 	if c == nil {
-		return notSent(s, "connect", errNoConnection)
+		return notSent(s, stepConnect, errNoConnection)
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(s.Linger))
 	defer cancel()
 	cc, err := c.get(ctx)
 	if err != nil {
-		return notSent(s, "connect", err)
+		return notSent(s, stepConnect, err)
 	}
 	now := p.opts.Clock()
 	if s.Guard != nil && !s.Guard(now) {
 		cc.Release()
 		return notSent(s, "guard", errors.New("the call is no longer allowed"))
 	}
-	return roundTrip(ctx, cc, s, s.Deadline.Sub(now))
+	return roundTrip(ctx, c, cc, s, s.Deadline.Sub(now))
 }
 
 func notSent(s leafcall.Send, step string, err error) leafcall.Result {
-	return leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	r := leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	if step != stepConnect || errors.Is(err, errNoConnection) || errors.Is(err, context.Canceled) {
+		r.Blame = leafcall.BlameSelf
+	}
+	return r
 }
 
+// stepConnect is where the backend server may be to blame that nothing was
+// sent.
+const stepConnect = "connect"
+
 func failure(s leafcall.Send, step string, err error) error {
 	return fault.Wrap(fault.Backend, step, s.Server.ID, err)
 }
 
-func roundTrip(ctx context.Context, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
-	req, err := newRequest(ctx, s, left)
-	if err != nil {
-		cc.Release()
-		return notSent(s, "encode", err)
-	}
-	resp, err := cc.RoundTrip(req)
+func roundTrip(ctx context.Context, c *conns, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
+	resp, err := cc.RoundTrip(newRequest(ctx, c, s, left))
 	if err != nil {
 		return failed(ctx, s, "send", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+	body, err := readBody(resp)
 	if err != nil {
 		return failed(ctx, s, "receive", err)
 	}
@@ -147,27 +155,45 @@
 	return result(s, resp, body)
 }
 
-func newRequest(ctx context.Context, s leafcall.Send, left time.Duration) (*http.Request, error) {
-	path := PathQuery
-	if s.Command {
-		path = PathCommand
+// readBody reads a body, at most one byte beyond MaxAnswerBytes.
+func readBody(resp *http.Response) ([]byte, error) {
+	if n := resp.ContentLength; n >= 0 && n <= MaxAnswerBytes {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
 	}
-	url := "http://" + s.Server.Address + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(s.Payload))
-	if err != nil {
-		return nil, err
-	}
-	// A connection that breaks must not make net/http send the call again.
-	req.GetBody = nil
-	h := req.Header
-	h.Set("Content-Type", "application/json")
-	h.Set(HeaderAttempt, attemptID(s))
-	h.Set(HeaderService, s.Server.Service)
-	h.Set(HeaderLeaf, s.Server.Leaf)
-	h.Set(HeaderSnapshot, s.Snapshot)
-	h.Set(HeaderOperation, s.Operation)
-	h.Set(HeaderDeadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	return req, nil
+	return io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
+}
+
+// newRequest builds the request by hand: its URL and header names are known,
+// and a host makes tens of thousands a second. Without GetBody, net/http
+// cannot send it again when the connection breaks.
+func newRequest(ctx context.Context, c *conns, s leafcall.Send, left time.Duration) *http.Request {
+	to := c.query
+	if s.Command {
+		to = c.command
+	}
+	values := []string{
+		"application/json", attemptID(s), s.Server.Service, s.Server.Leaf, s.Snapshot, s.Operation,
+		strconv.FormatInt(max(left.Milliseconds(), 1), 10),
+	}
+	req := &http.Request{
+		Method: http.MethodPost, URL: to, Host: to.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: http.NoBody, ContentLength: int64(len(s.Payload)),
+		Header: http.Header{
+			"Content-Type":  values[0:1:1],
+			HeaderAttempt:   values[1:2:2],
+			HeaderService:   values[2:3:3],
+			HeaderLeaf:      values[3:4:4],
+			HeaderSnapshot:  values[4:5:5],
+			HeaderOperation: values[5:6:6],
+			HeaderDeadline:  values[6:7:7],
+		},
+	}
+	if len(s.Payload) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(s.Payload))
+	}
+	return req.WithContext(ctx)
 }
 
 func attemptID(s leafcall.Send) string {
@@ -201,6 +227,9 @@
 	}
 	notRun := h.Get(HeaderOutcome) == "not_run"
 	switch {
+	case resp.StatusCode == http.StatusOK && !json.Valid(body):
+		r.Status = leafcall.Broken
+		r.Err = failure(s, "answer", errors.New("the body is not JSON"))
 	case resp.StatusCode == http.StatusOK:
 		r.Status = leafcall.OK
 	case resp.StatusCode == http.StatusConflict && notRun:
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -19,9 +19,11 @@
 	OpsListen    string        `arg:"--ops-listen,env:FIGMAST_OPS_LISTEN" default:"127.0.0.1:8081" help:"IP number and TCP port for health, metrics and operators"`
 	PeerListen   string        `arg:"--peer-listen,env:FIGMAST_PEER_LISTEN" default:"127.0.0.1:8082" help:"IP number and UDP port for other hosts"`
 	Platform     string        `arg:"--platform,env:FIGMAST_PLATFORM" help:"IP number and port of the platform"`
+	Peers        []string      `arg:"--peers,env:FIGMAST_PEERS" help:"IP numbers and UDP ports of some other hosts, asked while the platform cannot be read at the start"`
 	Certificate  string        `arg:"--certificate,env:FIGMAST_CERTIFICATE" help:"PEM text or file of this host's certificate"`
 	Key          string        `arg:"--key,env:FIGMAST_KEY" help:"PEM text or file of this host's key"`
 	Authorities  string        `arg:"--authorities,env:FIGMAST_AUTHORITIES" help:"PEM text or file of the authorities that peers' certificates must have"`
+	ShareLag     time.Duration `arg:"--share-lag,env:FIGMAST_SHARE_LAG" default:"3s" help:"how long hosts may differ on the list of hosts; connections are taken over after twice that"`
 	DrainWait    time.Duration `arg:"--drain-wait,env:FIGMAST_DRAIN_WAIT" default:"5s" help:"how long to stay open while the balancer takes this host out"`
 	DrainLimit   time.Duration `arg:"--drain-limit,env:FIGMAST_DRAIN_LIMIT" default:"30s" help:"how long running requests may take to finish"`
 	TicketLife   time.Duration `arg:"--ticket-lifetime,env:FIGMAST_TICKET_LIFETIME" default:"10m" help:"how long a ticket may be used"`
@@ -38,40 +40,76 @@
 
 // Check returns every fault of the settings, joined, or nil.
 func (s Settings) Check() error {
-	var faults []error
-	missing := func(flag, v string) {
-		if v == "" {
-			faults = append(faults, fmt.Errorf("%s: missing", flag))
-		}
+	var c settingsCheck
+	c.name("--host", s.Host)
+	c.name("--data-centre", s.DataCentre)
+	c.address("--caller-listen", s.CallerListen)
+	c.address("--ops-listen", s.OpsListen)
+	c.address("--peer-listen", s.PeerListen)
+	c.address("--platform", s.Platform)
+	c.reachable("--peer-listen", s.PeerListen)
+	if s.OpsListen == s.CallerListen && s.OpsListen != "" {
+		c.add("--ops-listen: the same as --caller-listen")
 	}
-	address := func(flag, v string) {
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			faults = append(faults, fmt.Errorf("%s: %q is not an IP number and port", flag, v))
-		}
+	for _, p := range s.Peers {
+		c.address("--peers", p)
 	}
-	positive := func(flag string, d time.Duration) {
-		if d <= 0 {
-			faults = append(faults, fmt.Errorf("%s: %v is not above 0", flag, d))
-		}
+	if s.ShareLag < 0 {
+		c.add("--share-lag: %v is below 0", s.ShareLag)
 	}
-	missing("--host", s.Host)
-	missing("--data-centre", s.DataCentre)
-	address("--caller-listen", s.CallerListen)
-	address("--ops-listen", s.OpsListen)
-	address("--peer-listen", s.PeerListen)
-	address("--platform", s.Platform)
 	if s.DrainWait < 0 {
-		faults = append(faults, fmt.Errorf("--drain-wait: %v is below 0", s.DrainWait))
+		c.add("--drain-wait: %v is below 0", s.DrainWait)
 	}
-	positive("--drain-limit", s.DrainLimit)
-	positive("--ticket-lifetime", s.TicketLife)
+	c.positive("--drain-limit", s.DrainLimit)
+	c.positive("--ticket-lifetime", s.TicketLife)
 	if _, err := parseLevel(s.LogLevel); err != nil {
-		faults = append(faults, err)
+		c.faults = append(c.faults, err)
 	}
 	if _, err := s.credentials().Load(); err != nil {
-		faults = append(faults, err)
+		c.faults = append(c.faults, err)
+	}
+	return errors.Join(c.faults...)
+}
+
+// settingsCheck collects faults.
+type settingsCheck struct{ faults []error }
+
+func (c *settingsCheck) add(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Errorf(format, args...))
+}
+
+// name refuses what cannot stand in headers and metrics.
+func (c *settingsCheck) name(flag, v string) {
+	if v == "" {
+		c.add("%s: missing", flag)
+		return
+	}
+	for _, r := range v {
+		if r <= ' ' || r > '~' || r == '"' || r == '\\' {
+			c.add("%s: %q is not printable ASCII without spaces and quotes", flag, v)
+			return
+		}
+	}
+}
+
+func (c *settingsCheck) address(flag, v string) {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		c.add("%s: %q is not an IP number and port", flag, v)
+	}
+}
+
+// reachable refuses an address that peers cannot be told.
+func (c *settingsCheck) reachable(flag, v string) {
+	a, err := netip.ParseAddrPort(v)
+	if err == nil && (a.Addr().IsUnspecified() || a.Port() == 0) {
+		c.add("%s: peers need the IP number and port themselves, not %s", flag, v)
+	}
+}
+
+func (c *settingsCheck) positive(flag string, d time.Duration) {
+	if d <= 0 {
+		c.add("%s: %v is not above 0", flag, d)
 	}
-	return errors.Join(faults...)
 }
 
 func (s Settings) credentials() peer.Source {
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -20,12 +20,16 @@
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/certs"
 	"github.com/figmast/figmast/internal/fake"
+	localfleet "github.com/figmast/figmast/internal/fleet"
 	"github.com/figmast/figmast/platform"
 )
 
 // patience bounds every wait of a test for real processes.
 const patience = 20 * time.Second
 
+// raceEnvironment, when set, has the programs built with the race detector.
+const raceEnvironment = "FIGMAST_RACE"
+
 // binaries is where TestMain builds the programs.
 var binaries string
 
@@ -41,7 +45,11 @@
 	}
 	defer os.RemoveAll(dir)
 	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	args := []string{"build", "-o", dir}
+	if os.Getenv(raceEnvironment) != "" {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../cmd/...")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
 		return 1
@@ -55,7 +63,7 @@
 	log bytes.Buffer
 }
 
-func start(t *testing.T, env []string, name string, args ...string) *process {
+func start(t testing.TB, env []string, name string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(filepath.Join(binaries, name), args...)}
 	p.cmd.Env = append(os.Environ(), env...)
@@ -66,6 +74,9 @@
 	t.Cleanup(func() {
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Wait()
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			t.Error("a data race was found")
+		}
 		if t.Failed() {
 			t.Logf("%s %v\n%s", name, args, p.log.String())
 		}
@@ -84,24 +95,23 @@
 
 // fleet is a running set of processes.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	authority *certs.Authority
 	platform  string
 	hosts     []*host
 }
 
-// free returns an unused IP number and port on loopback.
-func free(t *testing.T, ip string) string {
+// free returns an unused IP number and port on loopback, never one twice.
+func free(t testing.TB, ip string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
+	address, err := localfleet.FreeAddress(ip)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	t.Helper()
 	is := is.New(t)
 	authority, err := certs.NewAuthority()
@@ -132,7 +142,7 @@
 	env := []string{"FIGMAST_CERTIFICATE=" + pair.CertPEM, "FIGMAST_KEY=" + pair.KeyPEM, "FIGMAST_AUTHORITIES=" + f.authority.PEM}
 	args := []string{
 		"--host", h.id, "--data-centre", dataCentre, "--platform", f.platform,
-		"--caller-listen", h.callers, "--ops-listen", h.ops, "--peer-listen", h.peers, "--drain-wait", "100ms",
+		"--caller-listen", h.callers, "--ops-listen", h.ops, "--peer-listen", h.peers, "--drain-wait", "100ms", "--share-lag", "100ms",
 	}
 	h.process = start(f.t, env, "figmastd", append(args, extra...)...)
 	entry, err := json.Marshal(control.HostEntry{Address: h.peers, DataCentre: dataCentre})
@@ -173,7 +183,7 @@
 }
 
 // waitFor polls until the condition holds.
-func waitFor(t *testing.T, what string, holds func() bool) {
+func waitFor(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if holds() {
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -16,6 +16,8 @@
 const (
 	PathPut    = "/v3/kv/put"
 	PathDelete = "/v3/kv/deleterange"
+	// PathCalls tells how many calls there were.
+	PathCalls = "/fake/calls"
 )
 
 // PutRequest publishes a value.
@@ -60,6 +62,10 @@
 	defer p.mu.Unlock()
 	p.revision++
 	e.Kv.ModRevision = platform.Int64(p.revision)
+	e.Kv.CreateRevision = e.Kv.ModRevision
+	if old, ok := p.values[string(e.Kv.Key)]; ok {
+		e.Kv.CreateRevision = old.CreateRevision
+	}
 	p.history = append(p.history, e)
 	if e.Type == platform.EventDelete {
 		delete(p.values, string(e.Kv.Key))
@@ -92,6 +98,10 @@
 
 // ServeHTTP serves the platform's protocol.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == PathCalls {
+		_ = json.NewEncoder(w).Encode(p.Calls())
+		return
+	}
 	p.mu.Lock()
 	p.calls++
 	down := p.down
