--- a/control/reader.go
+++ b/control/reader.go
@@ -25,6 +25,8 @@
 	nextCall time.Time
 	// loaded is set once everything was read.
 	loaded bool
+	// held is the table's revision when the call was made.
+	held int64
 	// behind is the newest revision seen at the platform.
 	behind int64
 }
@@ -36,7 +38,7 @@
 	if r.calling || now.Before(r.nextCall) || !watcher && !s.Deaf(now) {
 		return
 	}
-	r.calling = true
+	r.calling, r.held = true, s.table.revision
 	if !r.loaded || r.behind > s.table.revision {
 		s.out.Read = true
 		r.nextCall = now.Add(deafEvery)
@@ -64,11 +66,11 @@
 	s.platformAt(asked, revision)
 }
 
-// platformAt confirms the table if the platform is where the table is. A
-// platform that is behind it answers from an old state, which says nothing
-// about the present.
+// platformAt confirms the table if the platform is where the table is, or was
+// when the platform was asked. A platform that is behind it answers from an
+// old state, which says nothing about the present.
 func (s *State) platformAt(asked time.Time, revision int64) {
-	if revision == s.table.revision {
+	if revision == s.table.revision || revision == s.reader.held {
 		s.confirm(asked)
 	}
 	if revision > s.reader.behind && revision > s.table.revision {
