--- a/backend/pool.go
+++ b/backend/pool.go
@@ -107,44 +107,57 @@
 	c := p.byAddr[s.Server.Address]
 	p.mu.Unlock()
 	if c == nil {
-		return notSent(s, "connect", errNoConnection)
+		return notSent(s, stepConnect, errNoConnection)
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline.Add(s.Linger))
 	defer cancel()
 	cc, err := c.get(ctx)
 	if err != nil {
-		return notSent(s, "connect", err)
+		return notSent(s, stepConnect, err)
 	}
 	now := p.opts.Clock()
 	if s.Guard != nil && !s.Guard(now) {
 		cc.Release()
-		return notSent(s, "guard", errors.New("the call is no longer allowed"))
+		return notSent(s, "guard", errGuard)
 	}
-	return roundTrip(ctx, c, cc, s, s.Deadline.Sub(now))
+	body := &guardedBody{Reader: bytes.NewReader(s.Payload), guard: s.Guard, clock: p.opts.Clock}
+	return roundTrip(ctx, c, cc, s, body, s.Deadline.Sub(now))
 }
 
 func notSent(s leafcall.Send, step string, err error) leafcall.Result {
-	return leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	r := leafcall.Result{Status: leafcall.NotSent, Err: failure(s, step, err)}
+	if step != stepConnect || errors.Is(err, errNoConnection) || errors.Is(err, context.Canceled) {
+		r.Blame = leafcall.BlameSelf
+	}
+	return r
 }
 
+// stepConnect is where the backend server may be to blame that nothing was
+// sent.
+const stepConnect = "connect"
+
 func failure(s leafcall.Send, step string, err error) error {
 	return fault.Wrap(fault.Backend, step, s.Server.ID, err)
 }
 
-func roundTrip(ctx context.Context, c *conns, cc *http.ClientConn, s leafcall.Send, left time.Duration) leafcall.Result {
-	resp, err := cc.RoundTrip(newRequest(ctx, c, s, left))
+func roundTrip(ctx context.Context, c *conns, cc *http.ClientConn, s leafcall.Send, body *guardedBody, left time.Duration) leafcall.Result {
+	resp, err := cc.RoundTrip(newRequest(ctx, c, s, body, left))
 	if err != nil {
-		return failed(ctx, s, "send", err)
+		r := failed(ctx, s, "send", err)
+		if body.refused.Load() {
+			r.Blame = leafcall.BlameSelf
+		}
+		return r
 	}
 	defer resp.Body.Close()
-	body, err := readBody(resp)
+	answer, err := readBody(resp)
 	if err != nil {
 		return failed(ctx, s, "receive", err)
 	}
-	if len(body) > MaxAnswerBytes {
+	if len(answer) > MaxAnswerBytes {
 		return leafcall.Result{Status: leafcall.Rejected, Sent: true, Err: failure(s, "receive", errors.New("the answer is too large"))}
 	}
-	return result(s, resp, body)
+	return result(s, resp, answer)
 }
 
 // readBody reads a body, at most one byte beyond MaxAnswerBytes.
@@ -160,7 +173,7 @@
 // newRequest builds the request by hand: its URL and header names are known,
 // and a host makes tens of thousands a second. Without GetBody, net/http
 // cannot send it again when the connection breaks.
-func newRequest(ctx context.Context, c *conns, s leafcall.Send, left time.Duration) *http.Request {
+func newRequest(ctx context.Context, c *conns, s leafcall.Send, body *guardedBody, left time.Duration) *http.Request {
 	to := c.query
 	if s.Command {
 		to = c.command
@@ -171,7 +184,7 @@
 	}
 	req := &http.Request{
 		Method: http.MethodPost, URL: to, Host: to.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: http.NoBody, ContentLength: int64(len(s.Payload)),
+		Body: body, ContentLength: int64(len(s.Payload)),
 		Header: http.Header{
 			"Content-Type":  values[0:1:1],
 			HeaderAttempt:   values[1:2:2],
@@ -182,9 +195,6 @@
 			HeaderDeadline:  values[6:7:7],
 		},
 	}
-	if len(s.Payload) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(s.Payload))
-	}
 	return req.WithContext(ctx)
 }
 
--- a/control/reader.go
+++ b/control/reader.go
@@ -10,11 +10,9 @@
 const (
 	// checkEvery is how often a watcher asks for the newest revision.
 	checkEvery = 500 * time.Millisecond
-	// lateEvery is how often any other host does while it hears of the
+	// deafEvery is how often any other host does while it hears of the
 	// platform through no peer.
-	lateEvery = time.Second
-	// lateAfter is the age of a confirmation from which it does.
-	lateAfter = time.Second
+	deafEvery = time.Second
 	// CheckTimeout and ReadTimeout bound the two calls.
 	CheckTimeout = time.Second
 	ReadTimeout  = 5 * time.Second
@@ -27,6 +25,8 @@
 	nextCall time.Time
 	// loaded is set once everything was read.
 	loaded bool
+	// held is the table's revision when the call was made.
+	held int64
 	// behind is the newest revision seen at the platform.
 	behind int64
 }
@@ -35,18 +35,17 @@
 func (s *State) readPlatform(now time.Time) {
 	r := &s.reader
 	watcher := s.watches(now)
-	late := now.Sub(s.confirmed) > lateAfter
-	if r.calling || now.Before(r.nextCall) || !watcher && !late {
+	if r.calling || now.Before(r.nextCall) || !watcher && !s.Deaf(now) {
 		return
 	}
-	r.calling = true
+	r.calling, r.held = true, s.table.revision
 	if !r.loaded || r.behind > s.table.revision {
 		s.out.Read = true
-		r.nextCall = now.Add(lateEvery)
+		r.nextCall = now.Add(deafEvery)
 		return
 	}
 	s.out.Check = true
-	r.nextCall = now.Add(lateEvery)
+	r.nextCall = now.Add(deafEvery)
 	if watcher {
 		r.nextCall = now.Add(checkEvery)
 	}
@@ -67,11 +66,11 @@
 	s.platformAt(asked, revision)
 }
 
-// platformAt confirms the table if the platform is where the table is. A
-// platform that is behind it answers from an old state, which says nothing
-// about the present.
+// platformAt confirms the table if the platform is where the table is, or was
+// when the platform was asked. A platform that is behind it answers from an
+// old state, which says nothing about the present.
 func (s *State) platformAt(asked time.Time, revision int64) {
-	if revision == s.table.revision {
+	if revision == s.table.revision || revision == s.reader.held {
 		s.confirm(asked)
 	}
 	if revision > s.reader.behind && revision > s.table.revision {
--- a/control/relay.go
+++ b/control/relay.go
@@ -14,7 +14,7 @@
 	// watchersPerCentre is how many hosts of a data centre watch the platform.
 	watchersPerCentre = 2
 	// fanOut is how many hosts of its data centre follow one host.
-	fanOut = 8
+	fanOut = 6
 	// holdFor is how long a peer may hold a follower's question; a newer word
 	// from the platform by relayStep ends that too, so that it passes down the
 	// tree without waiting at each host.
@@ -43,9 +43,11 @@
 	asks   map[uint64]*asked
 	// ranks are the hosts of each data centre by rendezvous rank, and ranked
 	// is unset when they are out of date.
-	ranked  bool
-	leader  view.Host
-	leads   bool
+	ranked bool
+	leader view.Host
+	leads  bool
+	// heard is the id of the last leader that answered.
+	heard   string
 	watcher bool
 	// leaderFree is when the leader may be asked again.
 	leaderFree time.Time
@@ -74,7 +76,8 @@
 	ask   Ask
 	since time.Time
 	until time.Time
-	// confirmed is when the platform was last heard when the question came.
+	// confirmed is when the platform was last heard, by this host or by the
+	// asker, when the question came.
 	confirmed time.Time
 }
 
@@ -169,7 +172,7 @@
 	if r.leads && !r.leaderBusy && !now.Before(r.leaderFree) {
 		r.leaderBusy = true
 		r.leaderFree = now.Add(leastPause)
-		s.send(now, asked{to: r.leader, leader: true}, s.hold(now))
+		s.send(now, asked{to: r.leader, leader: true}, s.hold())
 	}
 	if now.Sub(r.lastRandom) < s.randomPause(now) {
 		return
@@ -180,18 +183,16 @@
 	}
 }
 
-// hold is how long the leader may hold a question: not while it may hear the
-// platform and this host does not.
-func (s *State) hold(now time.Time) time.Duration {
-	late := now.Sub(s.confirmed) > lateAfter && !s.Deaf(now)
-	if late || !s.fresh.done {
+// hold is how long the leader may hold a question: not the first one.
+func (s *State) hold() time.Duration {
+	if s.relay.heard != s.relay.leader.ID || !s.fresh.done {
 		return 0
 	}
 	return holdFor
 }
 
 func (s *State) randomPause(now time.Time) time.Duration {
-	if !s.fresh.done || now.Sub(s.confirmed) > lateAfter {
+	if !s.fresh.done || s.Deaf(now) {
 		return searchEvery
 	}
 	return repairEvery
@@ -258,7 +259,7 @@
 	deaf := s.Deaf(now)
 	s.relay.turn += maxNews
 	return Ask{
-		From: s.members.self, Revision: s.table.revision, Hash: s.table.hash(), Witness: deaf,
+		From: s.members.self, Revision: s.table.revision, Hash: s.table.hash(), Witness: deaf, AgeMs: msUp(now.Sub(s.confirmed)),
 		Members:    s.members.tell(now, deaf, s.relay.turn, s.table.hosts),
 		Suspicions: s.suspects.tell(now),
 	}
@@ -323,6 +324,9 @@
 	}
 	s.hear(now, in.From, in.Members)
 	s.members.alive(in.From.ID)
+	if q.leader {
+		s.relay.heard = q.to.ID
+	}
 	s.learnSuspicions(now, in.Suspicions)
 	missing := s.merge(now, in)
 	s.confirmBy(q.at, in)
@@ -369,7 +373,8 @@
 // hear takes in what a peer said of itself and of others.
 func (s *State) hear(now time.Time, from Member, others []Member) {
 	for _, m := range append([]Member{from}, others...) {
-		_, listed := s.table.hosts[m.ID]
+		l, listed := s.table.hosts[m.ID]
+		listed = listed && l.entry.Address == m.Address && l.entry.DataCentre == m.DataCentre
 		s.members.learn(now, m, listed)
 	}
 }
@@ -401,7 +406,11 @@
 		until = now
 	}
 	s.askBack(now, in)
-	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until, confirmed: s.confirmed})
+	confirmed := s.confirmed
+	if theirs := now.Add(-ms(in.AgeMs)); in.Hash == s.table.hash() && theirs.Before(confirmed) {
+		confirmed = theirs
+	}
+	s.relay.held = append(s.relay.held, held{token: token, ask: *in, since: now, until: until, confirmed: confirmed})
 }
 
 // askBack asks the asker when it may hold something that this host lacks.
--- a/document/parse.go
+++ b/document/parse.go
@@ -91,6 +91,10 @@
 	if err := faults.orNil(); err != nil {
 		return nil, err
 	}
+	s.places = make(map[string]int, len(s.Leaves))
+	for i, l := range s.Leaves {
+		s.places[l.Name] = i
+	}
 	return s, nil
 }
 
--- a/document/service.go
+++ b/document/service.go
@@ -47,6 +47,10 @@
 	LeastCoverage float64 `yaml:"least_coverage"`
 	// StopWork tells when a query stops before its deadline.
 	StopWork StopWork `yaml:"stop_work"`
+
+	// places are the leaves' places in Leaves, by name; nil in a document that
+	// Parse did not make.
+	places map[string]int
 }
 
 // Operation is one thing that a service answers.
@@ -187,6 +191,13 @@
 
 // Leaf returns the leaf of that name, or nil.
 func (s *Service) Leaf(name string) *Leaf {
+	if s.places != nil {
+		i, ok := s.places[name]
+		if !ok {
+			return nil
+		}
+		return &s.Leaves[i]
+	}
 	for i := range s.Leaves {
 		if s.Leaves[i].Name == name {
 			return &s.Leaves[i]
--- a/e2e/daemon_test.go
+++ b/e2e/daemon_test.go
@@ -41,15 +41,6 @@
 	}
 }
 
-func (h *host) ready() bool {
-	resp, err := http.Get("http://" + h.ops + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // startOne runs one host with the sample service in force.
 func startOne(t *testing.T, extra ...string) (*fleet, *host, []string) {
 	t.Helper()
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -243,7 +243,7 @@
 		s.mu.Unlock()
 		var ready []*host
 		for _, h := range all {
-			if isReady(h) {
+			if h.ready() {
 				ready = append(ready, h)
 			}
 		}
@@ -256,18 +256,6 @@
 	}
 }
 
-// probe is the balancer's client.
-var probe = &http.Client{Timeout: balanceEvery, Transport: &http.Transport{DisableKeepAlives: true}}
-
-func isReady(h *host) bool {
-	resp, err := probe.Get("http://" + h.ops + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // pickHost returns one of the hosts that the balancer holds ready.
 func (s *scenario) pickHost() *host {
 	for {
--- a/policy/relay.go
+++ b/policy/relay.go
@@ -41,3 +41,15 @@
 func (r *Router) Joined(now time.Time) bool {
 	return r.view.Valid(now) && r.fleet.joined(r.at(now))
 }
+
+// Settled reports whether this host can serve by now: it may hold connections,
+// or it has waited as long as a newcomer does and can call through others. A
+// host that the platform's list does not hold, as while the platform is down,
+// serves that way.
+func (r *Router) Settled(now time.Time) bool {
+	if r.Joined(now) {
+		return true
+	}
+	at := r.at(now)
+	return r.view.Valid(now) && at-r.fleet.began >= r.fleet.joinWait() && r.fleet.hasHolders(at)
+}
--- a/policy/relay_test.go
+++ b/policy/relay_test.go
@@ -87,3 +87,19 @@
 	is.True(!r.Joined(epoch.Add(time.Second)))
 	is.True(r.Joined(epoch.Add(2 * time.Second)))
 }
+
+// TestAnUnlistedHostServesThroughOthers starts a host that the platform's list
+// does not hold: it never holds connections, but serves once it has waited.
+func TestAnUnlistedHostServesThroughOthers(t *testing.T) {
+	is := is.New(t)
+	const lag = time.Second
+	r := routers(3, 1, Options{ShareLag: lag}, shape{servers: 1, connections: 30}.doc())[0]
+	v := *r.View()
+	v.Unlisted = true
+	v.ValidUntil = epoch.Add(time.Hour)
+	fresh := NewRouter(Options{Rand: r.opts.Rand, ShareLag: lag})
+	fresh.Apply(epoch, &v)
+	is.True(!fresh.Settled(epoch.Add(lag)))
+	is.True(fresh.Settled(epoch.Add(joinLags * lag)))
+	is.True(!fresh.Joined(epoch.Add(time.Minute)))
+}
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -225,18 +225,25 @@
 func (r *Runner) Run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	shares := time.NewTicker(advanceEvery)
+	defer shares.Stop()
 	for {
 		timer.Reset(r.untilNext())
 		select {
 		case <-r.stop:
 			return
 		case <-r.wake:
+		case <-shares.C:
+			r.advance()
 		case <-timer.C:
 			r.tick()
 		}
 	}
 }
 
+// advanceEvery is how often shares of connections are looked at.
+const advanceEvery = 250 * time.Millisecond
+
 // idleTick is how long Run sleeps when no query waits, so that commands'
 // claims are still forgotten in time.
 const idleTick = time.Second
@@ -331,7 +338,7 @@
 func (r *Runner) send(s leafcall.Send) {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.calls[s.ID] = call{cancel: cancel, command: s.Command}
-	s.Guard = r.guard(s.Guard)
+	s.Guard = r.guard(s.Server, s.Guard)
 	r.working.Add(1)
 	go func() {
 		defer r.working.Done()
@@ -343,10 +350,12 @@
 	}()
 }
 
-// guard adds the check that the view in force may still be acted on.
-func (r *Runner) guard(also func(time.Time) bool) func(time.Time) bool {
+// guard adds the check that the view in force may be acted on and still has
+// the server take work; it may be another view than the one the server was
+// picked from.
+func (r *Runner) guard(srv *policy.Server, also func(time.Time) bool) func(time.Time) bool {
 	return func(now time.Time) bool {
-		return r.view.Load().Valid(now) && (also == nil || also(now))
+		return r.view.Load().MayCall(now, srv.Service, srv.Leaf, srv.ID) && (also == nil || also(now))
 	}
 }
 
@@ -355,6 +364,9 @@
 	defer r.mu.Unlock()
 	delete(r.calls, s.ID)
 	now := r.opts.Clock()
+	if res.Blame == leafcall.BlameHolder {
+		r.opts.Router.HolderFailed(now, s.Via.ID)
+	}
 	if s.Command {
 		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
 		return
