Commands wait briefly for room at the backend servers

Change: a command that finds its leaf busy or cold asks again, an urgent one every 5 ms, a normal one every 10, for at most a quarter of its time left and 500 ms; at most 1,024 wait. Then it is refused for good, as not run, with when to come back: well before its deadline.

--- a/bench/plot.go
+++ b/bench/plot.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"errors"
 	"image/color"
 	"math"
 
@@ -23,6 +24,9 @@
 // line for each result, and the calls that reach it under the first. The
 // file's extension gives the format.
 func Plot(file string, results []Result) error {
+	if len(results) == 0 {
+		return errors.New("plot: no run in which a data centre moves")
+	}
 	p := plot.New()
 	p.Title.Text = results[0].Workload + ": data centre out at 2 s, stopped at 5 s, back cold at 6.5 s"
 	p.X.Label.Text = "s"
--- a/command/claim.go
+++ b/command/claim.go
@@ -41,6 +41,10 @@
 	sent        time.Time
 	// deadline of the attempts, at most the request's.
 	deadline time.Time
+	// roomUntil is until when the run waits for room at a server, and queued
+	// is set once it has.
+	roomUntil time.Time
+	queued    bool
 }
 
 // contentOf returns the digest of what the command does.
@@ -135,7 +139,7 @@
 	}
 	c.run = &run{
 		req: w.req, doc: doc, leaf: pickLeaf(doc, w.req.ShardKey),
-		fingerprint: fingerprint(w.req), deadline: deadline,
+		fingerprint: fingerprint(w.req), deadline: deadline, roomUntil: roomUntil(now, deadline),
 	}
 	e.send(now, c)
 }
@@ -152,6 +156,9 @@
 	srv, reason := router.Pick(now, policy.Pick{
 		Service: r.req.Service, Leaf: r.leaf, Tried: r.tried, Fingerprint: r.fingerprint, Command: true,
 	})
+	if srv == nil && e.awaitRoom(now, c, reason) {
+		return
+	}
 	if srv == nil {
 		wait := router.Backoff(now, r.req.Service, reason)
 		e.settle(c, Finish{Problem: comeAgain("no backend server", string(reason), "", wait)})
--- a/command/engine.go
+++ b/command/engine.go
@@ -101,6 +101,8 @@
 	// lapses and deadlines hold the claims and waits by what is due next.
 	lapses    queue[*claim]
 	deadlines queue[*wait]
+	// rooms holds the claims that wait for room at the backend servers.
+	rooms queue[*claim]
 	// held is the size of the results kept, in bytes.
 	held   int
 	pauses pauses
@@ -165,6 +167,7 @@
 func (e *Engine) Tick(now time.Time) Actions {
 	now = e.observe(now)
 	e.mint.lapsed(now)
+	e.retryRooms(now)
 	for w, ok := e.deadlines.take(now); ok; w, ok = e.deadlines.take(now) {
 		e.leave(w)
 		e.refuse(w, outOfTime())
@@ -178,12 +181,16 @@
 
 // Next returns when Tick has something to do.
 func (e *Engine) Next() (time.Time, bool) {
-	deadline, waiting := e.deadlines.next()
-	lapse, claimed := e.lapses.next()
-	if waiting && (!claimed || deadline.Before(lapse)) {
-		return deadline, true
+	var next time.Time
+	deadline, _ := e.deadlines.next()
+	lapse, _ := e.lapses.next()
+	room, _ := e.rooms.next()
+	for _, at := range []time.Time{deadline, lapse, room} {
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
 	}
-	return lapse, claimed
+	return next, !next.IsZero()
 }
 
 // Close ends the taking of new claims and the minting of tickets: a host that
@@ -205,7 +212,7 @@
 // Stats returns what the engine holds.
 func (e *Engine) Stats() Stats {
 	return Stats{
-		Tickets: e.mint.live, Claims: len(e.claims), Running: len(e.calls),
+		Tickets: e.mint.live, Claims: len(e.claims), Running: len(e.calls) + e.rooms.len(),
 		Waiting: len(e.waits), HeldBytes: e.held,
 	}
 }
--- a/command/engine_test.go
+++ b/command/engine_test.go
@@ -43,6 +43,7 @@
 		b.publish(b.hosts[0])
 		acts := b.engine.Tick(b.now)
 		all.Finish = append(all.Finish, acts.Finish...)
+		all.Send = append(all.Send, acts.Send...)
 	}
 	return all
 }
@@ -377,3 +378,32 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// TestCommandWaitsForRoom has a second command meet a leaf whose one
+// connection is in use: it waits for room, runs once there is some, and is
+// refused for good, as not run, once its wait is over.
+func TestCommandWaitsForRoom(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	var running []leafcall.ID
+	full := func() command.Actions {
+		for {
+			acts := b.start(b.ticket(t), 4*time.Second)
+			if len(acts.Send) == 0 {
+				return acts
+			}
+			running = append(running, acts.Send[0].ID)
+		}
+	}
+	is.Equal(len(full().Finish), 0) // it waits
+	is.Equal(len(b.step(20*time.Millisecond).Send), 0)
+	b.engine.Reply(b.now, running[0], ok("1"))
+	is.Equal(len(b.step(20*time.Millisecond).Send), 1) // there was room
+
+	is.Equal(len(full().Finish), 0)
+	refused := b.step(time.Second).Finish
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Problem.Outcome, figmast.NotRun)
+	is.True(refused[0].Problem.RetryAfterMs > 0)
+	is.Equal(len(b.step(3*time.Second).Send), 0)
+}
--- a/command/queue.go
+++ b/command/queue.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// len returns how many items wait.
+func (q *queue[T]) len() int { return len(q.entries) }
+
 // next returns when the first item is due.
 func (q *queue[T]) next() (time.Time, bool) {
 	if len(q.entries) == 0 {
