--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -118,7 +118,7 @@
 
 // oneFault does one thing to the fleet.
 func (s *scenario) oneFault() {
-	switch s.rng.IntN(7) {
+	switch s.rng.IntN(8) {
 	case 0:
 		s.toggle(s.out, centre(s.rng.IntN(faultCentres)))
 		s.publish()
@@ -138,6 +138,10 @@
 		srv := s.servers[s.rng.IntN(len(s.servers))]
 		s.behave(srv, fake.Behaviour{Latency: backendLatency, BreakAfterRun: true})
 		time.AfterFunc(300*time.Millisecond, func() { s.behave(srv, fake.Behaviour{Latency: backendLatency}) })
+	case 7:
+		s.fleet.setMode(fake.Mode{Down: true})
+		time.Sleep(time.Duration(1+s.rng.IntN(4)) * time.Second)
+		s.fleet.setMode(fake.Mode{})
 	}
 }
 
