--- a/internal/pages/pages_test.go
+++ b/internal/pages/pages_test.go
@@ -2,6 +2,7 @@
 package pages
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -99,3 +100,36 @@
 	walk(reflect.TypeFor[document.Service](), "")
 	demand(t, 35, names)
 }
+
+// TestProofsNameRealTests asks that every test that docs/PROOFS.md names is
+// there.
+func TestProofsNameRealTests(t *testing.T) {
+	known := make(map[string]bool)
+	declared := regexp.MustCompile(`(?m)^func (Test\w+)\(`)
+	err := filepath.WalkDir(filepath.Join("..", ".."), func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range declared.FindAllStringSubmatch(string(text), -1) {
+			known[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "PROOFS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := regexp.MustCompile(`\bTest[A-Z]\w+`).FindAllString(string(page), -1)
+	if len(named) < 30 {
+		t.Fatalf("only %d tests named", len(named))
+	}
+	for _, name := range named {
+		if !known[name] {
+			t.Errorf("docs/PROOFS.md names %s, which is not there", name)
+		}
+	}
+}
