Runner: timers set by a reply fire in time; files by job

Cause: only the start of a request woke the timer loop, so that a timer set by a reply (a command that waits for room, a retried call's hedge) fired when the loop woke for something else, up to 250 ms later. Found by reading. Change: the loop notes until when it sleeps and is woken by whatever sets an earlier timer, and by nothing else.

The runner's file is split into actions, timers and drain, without other changes.

--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -55,6 +55,9 @@
 
 	view atomic.Pointer[view.View]
 
+	// sleepsUntil is when Run wakes up by itself.
+	sleepsUntil time.Time
+
 	wake    chan struct{}
 	stop    chan struct{}
 	working sync.WaitGroup
@@ -113,7 +116,6 @@
 	began := r.opts.Clock()
 	done := make(chan query.Finish, 1)
 	id := r.startQuery(req, done)
-	r.nudge()
 	var f query.Finish
 	select {
 	case f = <-done:
@@ -134,6 +136,7 @@
 	id, acts := r.opts.Queries.Start(r.opts.Clock(), req)
 	r.queries[id] = done
 	r.runQuery(acts)
+	r.nudge()
 	return id
 }
 
@@ -155,7 +158,6 @@
 	began := r.opts.Clock()
 	done := make(chan command.Finish, 1)
 	r.startCommand(req, done)
-	r.nudge()
 	var f command.Finish
 	select {
 	case f = <-done:
@@ -171,6 +173,7 @@
 	id, acts := r.opts.Commands.Start(r.opts.Clock(), req)
 	r.commands[id] = done
 	r.runCommand(acts)
+	r.nudge()
 }
 
 // Mint returns a ticket for one command of the service, or why there is none.
@@ -179,210 +182,3 @@
 	defer r.mu.Unlock()
 	return r.opts.Commands.Mint(r.opts.Clock(), time.Now(), service)
 }
-
-// Times of Drain.
-const (
-	// drainPoll is how often it looks.
-	drainPoll = 5 * time.Millisecond
-	// answerTime is left for the last answers to be written to peers.
-	answerTime = 50 * time.Millisecond
-)
-
-// Drain takes no more commands and waits until no caller waits and no command
-// runs, or until ctx is done; then it returns the cause. It tells what the
-// command engine then holds, which is forgotten when the process ends. Calls
-// of queries that have been answered may still be ending.
-func (r *Runner) Drain(ctx context.Context) (command.Stats, error) {
-	for {
-		held, idle := r.settled()
-		if idle {
-			pause(ctx, answerTime)
-			return held, nil
-		}
-		if ctx.Err() != nil {
-			return held, context.Cause(ctx)
-		}
-		pause(ctx, drainPoll)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
-func (r *Runner) settled() (held command.Stats, idle bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.opts.Commands.Close()
-	held = r.opts.Commands.Stats()
-	return held, len(r.queries) == 0 && len(r.commands) == 0 && held.Running+held.Waiting == 0
-}
-
-// Run fires timers until Stop.
-func (r *Runner) Run() {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
-	shares := time.NewTicker(advanceEvery)
-	defer shares.Stop()
-	for {
-		timer.Reset(r.untilNext())
-		select {
-		case <-r.stop:
-			return
-		case <-r.wake:
-		case <-shares.C:
-			r.advance()
-		case <-timer.C:
-			r.tick()
-		}
-	}
-}
-
-// advanceEvery is how often shares of connections are looked at.
-const advanceEvery = 250 * time.Millisecond
-
-// idleTick is how long Run sleeps when no query waits, so that commands'
-// claims are still forgotten in time.
-const idleTick = time.Second
-
-func (r *Runner) untilNext() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	wait := idleTick
-	now := r.opts.Clock()
-	if next, ok := r.opts.Queries.Next(); ok {
-		wait = min(wait, next.Sub(now))
-	}
-	if next, ok := r.opts.Commands.Next(); ok {
-		wait = min(wait, next.Sub(now))
-	}
-	return max(wait, 0)
-}
-
-func (r *Runner) tick() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.opts.Clock()
-	r.runQuery(r.opts.Queries.Tick(now))
-	r.runCommand(r.opts.Commands.Tick(now))
-}
-
-func (r *Runner) nudge() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
-
-// Stop ends Run and gives up queries' calls. It waits for commands to end
-// until ctx is done, then gives up the rest, and returns when nothing is left.
-func (r *Runner) Stop(ctx context.Context) {
-	close(r.stop)
-	r.giveUp(func(c call) bool { return !c.command })
-	over := context.AfterFunc(ctx, func() { r.giveUp(func(call) bool { return true }) })
-	defer over()
-	r.working.Wait()
-}
-
-func (r *Runner) giveUp(which func(call) bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.calls {
-		if which(c) {
-			c.cancel()
-		}
-	}
-}
-
-// runQuery carries out a query's actions. The caller holds mu.
-func (r *Runner) runQuery(a query.Actions) {
-	r.opts.Recorder.Decided(a.Decisions)
-	for _, s := range a.Send {
-		r.send(s)
-	}
-	for _, c := range a.Cancel {
-		if running, ok := r.calls[c.ID]; ok {
-			running.cancel()
-		}
-	}
-	for _, f := range a.Finish {
-		done := r.queries[f.Run]
-		delete(r.queries, f.Run)
-		if done != nil {
-			done <- f
-		}
-	}
-}
-
-// runCommand carries out a command's actions. The caller holds mu.
-func (r *Runner) runCommand(a command.Actions) {
-	r.opts.Recorder.Decided(a.Decisions)
-	for _, s := range a.Send {
-		r.send(s)
-	}
-	for _, f := range a.Forward {
-		r.forward(f)
-	}
-	for _, f := range a.Finish {
-		done := r.commands[f.Run]
-		delete(r.commands, f.Run)
-		if done != nil {
-			done <- f
-		}
-	}
-}
-
-func (r *Runner) send(s leafcall.Send) {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.calls[s.ID] = call{cancel: cancel, command: s.Command}
-	s.Guard = r.guard(s.Server, s.Guard)
-	r.working.Add(1)
-	go func() {
-		defer r.working.Done()
-		defer cancel()
-		began := r.opts.Clock()
-		res := r.opts.Carrier.Call(ctx, s)
-		r.opts.Recorder.CallEnded(s, res, r.opts.Clock().Sub(began))
-		r.reply(s, res)
-	}()
-}
-
-// guard adds the check that the view in force may be acted on and still has
-// the server take work; it may be another view than the one the server was
-// picked from.
-func (r *Runner) guard(srv *policy.Server, also func(time.Time) bool) func(time.Time) bool {
-	return func(now time.Time) bool {
-		return r.view.Load().MayCall(now, srv.Service, srv.Leaf, srv.ID) && (also == nil || also(now))
-	}
-}
-
-func (r *Runner) reply(s leafcall.Send, res leafcall.Result) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.calls, s.ID)
-	now := r.opts.Clock()
-	if res.Blame == leafcall.BlameHolder {
-		r.opts.Router.HolderFailed(now, s.Via.ID)
-	}
-	if s.Command {
-		r.runCommand(r.opts.Commands.Reply(now, s.ID, res))
-		return
-	}
-	r.runQuery(r.opts.Queries.Reply(now, s.ID, res))
-}
-
-func (r *Runner) forward(f command.Forward) {
-	r.working.Add(1)
-	go func() {
-		defer r.working.Done()
-		ctx, cancel := context.WithDeadline(context.Background(), f.Request.Deadline)
-		defer cancel()
-		answer := r.opts.Forwarder.Forward(ctx, f)
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.runCommand(r.opts.Commands.Forwarded(r.opts.Clock(), f.Run, answer))
-	}()
-}
--- a/traffic/runner_test.go
+++ b/traffic/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,13 +58,13 @@
 // newRunner returns a running Runner whose view is valid for a minute.
 func newRunner(t *testing.T, c traffic.Carrier) *traffic.Runner {
 	t.Helper()
-	r, _ := newRunnerAndView(t, c)
+	r, _ := newRunnerAndView(t, c, sample)
 	return r
 }
 
-func newRunnerAndView(t *testing.T, c traffic.Carrier) (*traffic.Runner, *view.View) {
+func newRunnerAndView(t *testing.T, c traffic.Carrier, text string) (*traffic.Runner, *view.View) {
 	t.Helper()
-	doc, err := document.Parse([]byte(sample))
+	doc, err := document.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,7 +135,7 @@
 func TestRenewedViewLetsCallsThrough(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		r, v := newRunnerAndView(t, &carrier{delay: time.Millisecond})
+		r, v := newRunnerAndView(t, &carrier{delay: time.Millisecond}, sample)
 		time.Sleep(time.Minute)
 		next := *v
 		next.ValidUntil = time.Now().Add(time.Minute)
@@ -169,3 +170,65 @@
 		is.Equal(ans.Outcome, figmast.Ran)
 	})
 }
+
+// narrow has one leaf with two servers that take one call each.
+const narrow = `
+service: route-search
+version: 1
+operations: [{name: book, kind: command}]
+leaves:
+- name: a
+  slots: 2
+  connections: 2
+  servers: [{id: a1, address: "127.0.0.1:1", data_centre: dc}, {id: a2, address: "127.0.0.1:2", data_centre: dc}]
+snapshots:
+- {id: monday, partition_map: m, weights: [{leaf: a, weight: 1}]}
+`
+
+// shedding answers the first call slowly, refuses the second and answers the
+// rest at once.
+type shedding struct {
+	carrier
+	calls atomic.Int32
+}
+
+func (s *shedding) Call(ctx context.Context, call leafcall.Send) leafcall.Result {
+	switch s.calls.Add(1) {
+	case 1:
+		return (&carrier{delay: 30 * time.Millisecond}).Call(ctx, call)
+	case 2:
+		time.Sleep(5 * time.Millisecond)
+		return leafcall.Result{Status: leafcall.Shed, Sent: true}
+	default:
+		return s.carrier.Call(ctx, call)
+	}
+}
+
+// TestTimersSetByRepliesFireInTime has a command shed by one server while the
+// other is full: it waits for room, and the reply that made it wait must wake
+// Run.
+func TestTimersSetByRepliesFireInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newRunnerAndView(t, &shedding{carrier: carrier{delay: time.Millisecond}}, narrow)
+		defer r.Stop(context.Background())
+		time.Sleep(10 * time.Millisecond)
+		start := time.Now()
+		book := func(key string) *figmast.CommandAnswer {
+			ticket, _ := r.Mint("route-search")
+			ans, p := r.Command(context.Background(), command.Request{
+				ID: key, Service: "route-search", Operation: "book", ShardKey: key,
+				Ticket: ticket.String(), Deadline: start.Add(time.Second),
+			})
+			if p != nil {
+				t.Errorf("%s refused: %v", key, p)
+			}
+			return ans
+		}
+		go book("first")
+		synctest.Wait()
+		book("second")
+		if took := time.Since(start); took > 60*time.Millisecond {
+			t.Errorf("answered after %v", took)
+		}
+	})
+}
