--- a/control/relay.go
+++ b/control/relay.go
@@ -31,6 +31,8 @@
 	// that did not answer lately.
 	searchEvery = 250 * time.Millisecond
 	anyoneOf    = 8
+	// easyMargin is how long the view must still be valid for half of that.
+	easyMargin = 3 * time.Second
 	// fullEvery is the least time between two questions for a whole digest.
 	fullEvery = 2 * time.Second
 	// maxHeld bounds the questions held at once; more are answered at once.
@@ -192,10 +194,13 @@
 }
 
 func (s *State) randomPause(now time.Time) time.Duration {
-	if !s.fresh.done || s.Deaf(now) {
-		return searchEvery
+	switch {
+	case s.fresh.done && !s.Deaf(now):
+		return repairEvery
+	case s.until.Sub(now) > easyMargin:
+		return 2 * searchEvery
 	}
-	return repairEvery
+	return searchEvery
 }
 
 // randomPeer returns another host, mostly one that answers: a fresh host's
@@ -252,6 +257,7 @@
 	r.asks[r.lastID] = &q
 	a := s.question(now)
 	a.HoldMs, a.Full, a.Want = msDown(hold), q.full, q.want
+	a.Witness = !q.leader && s.Deaf(now)
 	s.out.Asks = append(s.out.Asks, Outgoing{ID: r.lastID, To: q.to.Address, Timeout: hold + askTimeout, Ask: a})
 }
 
@@ -259,7 +265,7 @@
 	deaf := s.Deaf(now)
 	s.relay.turn += maxNews
 	return Ask{
-		From: s.members.self, Revision: s.table.revision, Hash: s.table.hash(), Witness: deaf, AgeMs: msUp(now.Sub(s.confirmed)),
+		From: s.members.self, Revision: s.table.revision, Hash: s.table.hash(), AgeMs: msUp(now.Sub(s.confirmed)),
 		Members:    s.members.tell(now, deaf, s.relay.turn, s.table.hosts),
 		Suspicions: s.suspects.tell(now),
 	}
