--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 	address string
 	view    *view.View
 	direct  *backend.Pool
-	router  *policy.Router
+
+	mu     sync.Mutex
+	router *policy.Router
 }
 
 func startHolder(t testing.TB, authority *certs.Authority) *holder {
@@ -64,12 +67,21 @@
 
 // BeginRelayed decides by a Router on the holder's view.
 func (h *holder) BeginRelayed(service, leaf, server string) (*policy.Server, func(leafcall.Result), error) {
-	h.router.Apply(time.Now(), h.view)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.router.View() != h.view {
+		h.router.Apply(time.Now(), h.view)
+	}
 	srv, reason := h.router.Relay(time.Now(), service, leaf, server)
 	if srv == nil {
 		return nil, nil, errors.New(string(reason))
 	}
-	return srv, func(leafcall.Result) {}, nil
+	h.router.Begin(time.Now(), srv)
+	return srv, func(res leafcall.Result) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.router.Done(time.Now(), srv, policy.Observation{Result: res.Observed(), Latency: time.Millisecond})
+	}, nil
 }
 
 func listen(t testing.TB, authority *certs.Authority, h peer.Handler) *peer.Transport {
