--- a/daemon/malformed_test.go
+++ b/daemon/malformed_test.go
@@ -22,7 +22,7 @@
 
 // Malformed input: how many to each listener, and the seed.
 const (
-	malformedInputs = 5000
+	malformedInputs = 10_000
 	malformedSeed   = 20261204
 	malformedAtOnce = 4
 )
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -122,21 +122,9 @@
 func ran(t *testing.T, servers []string) map[string]int {
 	t.Helper()
 	counts := make(map[string]int)
-	for _, s := range servers {
-		resp, err := http.Get("http://" + backendAddress(s) + fake.PathExecutions)
-		if err != nil {
-			t.Fatal(err)
-		}
-		var list []fake.Execution
-		err = json.NewDecoder(resp.Body).Decode(&list)
-		_ = resp.Body.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, e := range list {
-			if e.Command {
-				counts[string(e.Payload)]++
-			}
+	for _, e := range executions(t, servers...) {
+		if e.Command {
+			counts[string(e.Payload)]++
 		}
 	}
 	return counts
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -172,7 +172,7 @@
 func ranAfter(t *testing.T, at time.Time, servers ...string) int {
 	t.Helper()
 	n := 0
-	for _, e := range executions(t, servers) {
+	for _, e := range executions(t, servers...) {
 		if e.At.After(at) {
 			n++
 		}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -353,18 +353,8 @@
 // collect reads what the backend servers ran.
 func (s *scenario) collect() {
 	for _, spec := range s.servers {
-		id, address, _ := strings.Cut(spec, "=")
-		resp, err := http.Get("http://" + address + fake.PathExecutions)
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		var list []fake.Execution
-		err = json.NewDecoder(resp.Body).Decode(&list)
-		_ = resp.Body.Close()
-		if err != nil {
-			s.t.Fatal(err)
-		}
-		s.history.executions[id] = list
+		id, _, _ := strings.Cut(spec, "=")
+		s.history.executions[id] = executions(s.t, spec)
 	}
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -241,3 +241,23 @@
 	_, address, _ := strings.Cut(spec, "=")
 	return address
 }
+
+// executions returns what backend servers ran.
+func executions(t testing.TB, servers ...string) []fake.Execution {
+	t.Helper()
+	var all []fake.Execution
+	for _, s := range servers {
+		resp, err := http.Get("http://" + backendAddress(s) + fake.PathExecutions)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var list []fake.Execution
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, list...)
+	}
+	return all
+}
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	figmast "github.com/figmast/figmast"
-	"github.com/figmast/figmast/internal/fake"
 	"github.com/figmast/figmast/platform"
 )
 
@@ -112,30 +111,10 @@
 func commandsRun(t *testing.T, servers []string) int {
 	t.Helper()
 	n := 0
-	for _, e := range executions(t, servers) {
+	for _, e := range executions(t, servers...) {
 		if e.Command {
 			n++
 		}
 	}
 	return n
 }
-
-// executions returns what backend servers ran.
-func executions(t *testing.T, servers []string) []fake.Execution {
-	t.Helper()
-	var all []fake.Execution
-	for _, s := range servers {
-		resp, err := http.Get("http://" + backendAddress(s) + fake.PathExecutions)
-		if err != nil {
-			t.Fatal(err)
-		}
-		var list []fake.Execution
-		err = json.NewDecoder(resp.Body).Decode(&list)
-		_ = resp.Body.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		all = append(all, list...)
-	}
-	return all
-}
