An idle host is ticked: commands were refused as read too late

Since connection shares are looked at every 250 ms, the timer loop started its sleep anew each time, so that its one-second tick never came on a host without timers; the command engine took the silence of 2.5 s for a pause of the process and refused commands, truly as not run, for a second. Change: the same ticker ticks the engines.

TestIdleHostIsNotTakenForPaused fails without the change and passes with it.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -369,6 +369,11 @@
 			count["cut or timed out"]++
 		}
 	}
+	for _, c := range s.history.commands {
+		if c.problem != nil {
+			count["command: "+c.problem.Title+" / "+c.problem.Detail+" / "+string(c.problem.Outcome)]++
+		}
+	}
 	return count
 }
 
--- a/traffic/runner_test.go
+++ b/traffic/runner_test.go
@@ -232,3 +232,27 @@
 		}
 	})
 }
+
+// TestIdleHostIsNotTakenForPaused sends a command after a long quiet time: the
+// engine, which takes a long silence for a pause of the process, must have
+// been ticked all along.
+func TestIdleHostIsNotTakenForPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, _ := newRunnerAndView(t, &carrier{delay: time.Millisecond}, sample)
+		defer r.Stop(context.Background())
+		for range 3 {
+			ticket, refused := r.Mint("route-search")
+			is.True(refused == nil)
+			ans, p := r.Command(context.Background(), command.Request{
+				ID: "c1", Service: "route-search", Operation: "book", ShardKey: "k",
+				Ticket: ticket.String(), Deadline: time.Now().Add(time.Second),
+			})
+			if p != nil {
+				t.Fatal(p)
+			}
+			is.Equal(ans.Outcome, figmast.Ran)
+			time.Sleep(20 * time.Second)
+		}
+	})
+}
--- a/traffic/timers.go
+++ b/traffic/timers.go
@@ -16,6 +16,7 @@
 		case <-r.wake:
 		case <-shares.C:
 			r.advance()
+			r.tick()
 		case <-timer.C:
 			r.tick()
 		}
