--- a/view/view.go
+++ b/view/view.go
@@ -89,11 +89,3 @@
 	}
 	return max(n, 1)
 }
-
-// SelfID returns the id of the host that holds the view, or "" without one.
-func (v *View) SelfID() string {
-	if v == nil {
-		return ""
-	}
-	return v.Self.ID
-}
