A holder asks for the very server right before it writes a relayed call

Cause: found by reading. A host's own calls ask at the write whether the view in force still has the server take work; a call made for a peer asked only whether the view is valid, so that a holder paused between its choice and its write could send to a data centre that had gone out. Both ask the same now.

TestHolderChecksTheServerAtTheWrite: the call was answered without the change, is not sent with it. The tests' holder keeps its view atomically: the race detector found it read and written at once.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -123,6 +123,12 @@
 	return out
 }
 
+// mayCall reports whether the view in force still has the server take work; it
+// may be a newer one than the server was chosen by.
+func (c *Carrier) mayCall(now time.Time, srv *policy.Server) bool {
+	return c.opts.View().MayCall(now, srv.Service, srv.Leaf, srv.ID)
+}
+
 // Serve makes a leaf call that a peer asks for.
 func (c *Carrier) Serve(ctx context.Context, call *wire.LeafCall) *wire.Message {
 	res := c.serve(ctx, call)
@@ -145,7 +151,7 @@
 	res := c.opts.Direct.Call(ctx, leafcall.Send{
 		ID: leafcall.ID(call.ID), Server: srv, RequestID: call.RequestID, Operation: call.Operation,
 		Snapshot: call.Snapshot, Payload: call.Payload, Command: call.Command, Deadline: deadline,
-		Guard: func(now time.Time) bool { return c.opts.View().Valid(now) && now.Before(deadline) },
+		Guard: func(now time.Time) bool { return c.mayCall(now, srv) && now.Before(deadline) },
 	})
 	end(res)
 	return res
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,11 +29,13 @@
 	server  *fake.Backend
 	target  *policy.Server
 	address string
-	view    *view.View
+	view    atomic.Pointer[view.View]
 	direct  *backend.Pool
 
 	mu     sync.Mutex
 	router *policy.Router
+	// picked is called once a server was chosen for a peer's call.
+	picked func()
 }
 
 func startHolder(t testing.TB, authority *certs.Authority) *holder {
@@ -48,7 +51,7 @@
 	h.direct = backend.NewPool(backend.Options{Clock: time.Now})
 	t.Cleanup(h.direct.Close)
 	h.direct.Apply([]policy.Share{{Server: h.target, Connections: 16, Protocol: document.HTTP1}})
-	c := relay.New(relay.Options{Direct: h.direct, Clock: time.Now, View: func() *view.View { return h.view }, Limits: h})
+	c := relay.New(relay.Options{Direct: h.direct, Clock: time.Now, View: h.view.Load, Limits: h})
 	tr := listen(t, authority, func(ctx context.Context, m *wire.Message) *wire.Message { return c.Serve(ctx, m.LeafCall) })
 	h.address = tr.Address()
 	return h
@@ -62,21 +65,24 @@
 		doc.DataCentresOut = []string{"dc-1"}
 	}
 	self := view.Host{ID: "holder", DataCentre: "dc-1"}
-	h.view = &view.View{Self: self, Hosts: []view.Host{self}, Services: map[string]*document.Service{"billing": doc}, ValidUntil: until}
+	h.view.Store(&view.View{Self: self, Hosts: []view.Host{self}, Services: map[string]*document.Service{"billing": doc}, ValidUntil: until})
 }
 
 // BeginRelayed decides by a Router on the holder's view.
 func (h *holder) BeginRelayed(service, leaf, server string) (*policy.Server, func(leafcall.Result), error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.router.View() != h.view {
-		h.router.Apply(time.Now(), h.view)
+	if v := h.view.Load(); h.router.View() != v {
+		h.router.Apply(time.Now(), v)
 	}
 	srv, reason := h.router.Relay(time.Now(), service, leaf, server)
 	if srv == nil {
 		return nil, nil, errors.New(string(reason))
 	}
 	h.router.Begin(time.Now(), srv)
+	if h.picked != nil {
+		h.picked()
+	}
 	return srv, func(res leafcall.Result) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -159,6 +165,20 @@
 	is.Equal(len(h.server.Executions()), 0)
 }
 
+// TestHolderChecksTheServerAtTheWrite takes the data centre out between the
+// holder's choice and its write, as for a process that was paused there.
+func TestHolderChecksTheServerAtTheWrite(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	h := startHolder(t, a)
+	h.mu.Lock()
+	h.picked = func() { h.setView(true, time.Now().Add(time.Hour)) }
+	h.mu.Unlock()
+	res := newCarrier(t, a).Call(context.Background(), h.send())
+	is.Equal(res.Status, leafcall.NotSent)
+	is.Equal(len(h.server.Executions()), 0)
+}
+
 // TestUnreachableHolder tells a peer that cannot be reached, to which nothing
 // was sent, from one that does not answer.
 func TestUnreachableHolder(t *testing.T) {
