Shares reach the carrier in order; rows of hosts grouped once

Found by reading. Setting a view, renewing it and the regular look at shares each worked out shares under the lock and handed them on outside it, from three goroutines, so that older ones could overwrite newer. One function does it for all three now and keeps the order. The loop's idle sleep of 1 s could no longer happen beside the tick of 250 ms and is gone. The two tables of figmast status that group hosts by row share the grouping.

No check is changed; traffic, daemon and the command pass under the race detector.

--- a/cmd/figmast/status.go
+++ b/cmd/figmast/status.go
@@ -91,35 +91,34 @@
 // printServices prints one row for each document in force; hosts that differ
 // get rows of their own.
 func printServices(out *printer, replies []reply[daemon.Status]) {
-	var rows []string
-	hosts := make(map[string][]string)
-	for _, r := range replies {
-		for _, s := range r.value.Services {
-			row := fmt.Sprintf("%s\t%d\t%s\t%d\t%d\t%s\t%s", s.Name, s.Version, s.Snapshot, s.Leaves, s.Servers,
-				orDash(s.DataCentresOut), orDash(s.Leaving))
-			if hosts[row] == nil {
-				rows = append(rows, row)
-			}
-			hosts[row] = append(hosts[row], r.value.Host)
+	rows := byHosts(replies, func(s daemon.Status) (rows []string) {
+		for _, v := range s.Services {
+			rows = append(rows, fmt.Sprintf("%s\t%d\t%s\t%d\t%d\t%s\t%s", v.Name, v.Version, v.Snapshot, v.Leaves, v.Servers,
+				orDash(v.DataCentresOut), orDash(v.Leaving)))
 		}
-	}
-	for i, row := range rows {
-		rows[i] = row + "\t" + strings.Join(hosts[row], ",")
-	}
-	if len(rows) > 0 {
-		out.printf("")
-		out.table("SERVICE\tVERSION\tSNAPSHOT\tLEAVES\tSERVERS\tOUT\tLEAVING\tIN FORCE ON", rows)
-	}
+		return rows
+	})
+	printRows(out, "SERVICE\tVERSION\tSNAPSHOT\tLEAVES\tSERVERS\tOUT\tLEAVING\tIN FORCE ON", rows)
 }
 
 // printCold prints each cold server once, with the hosts that take it for
 // cold.
 func printCold(out *printer, replies []reply[daemon.Status]) {
+	rows := byHosts(replies, func(s daemon.Status) (rows []string) {
+		for _, c := range s.Cold {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d", c.Service, c.Leaf, c.Server, c.DataCentre, c.Level))
+		}
+		return rows
+	})
+	printRows(out, "COLD SERVICE\tLEAF\tSERVER\tDATA CENTRE\tBEARS\tSEEN BY", rows)
+}
+
+// byHosts returns each row that hosts tell once, with the hosts that do.
+func byHosts(replies []reply[daemon.Status], rowsOf func(daemon.Status) []string) []string {
 	var rows []string
 	hosts := make(map[string][]string)
 	for _, r := range replies {
-		for _, c := range r.value.Cold {
-			row := fmt.Sprintf("%s\t%s\t%s\t%s\t%d", c.Service, c.Leaf, c.Server, c.DataCentre, c.Level)
+		for _, row := range rowsOf(r.value) {
 			if hosts[row] == nil {
 				rows = append(rows, row)
 			}
@@ -129,9 +128,14 @@
 	for i, row := range rows {
 		rows[i] = row + "\t" + strings.Join(hosts[row], ",")
 	}
+	return rows
+}
+
+// printRows prints a table after an empty line, or nothing.
+func printRows(out *printer, header string, rows []string) {
 	if len(rows) > 0 {
 		out.printf("")
-		out.table("COLD SERVICE\tLEAF\tSERVER\tDATA CENTRE\tBEARS\tSEEN BY", rows)
+		out.table(header, rows)
 	}
 }
 
--- a/traffic/relayed.go
+++ b/traffic/relayed.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
@@ -40,15 +41,24 @@
 }
 
 // advance lets shares of connections grow, or lapse, with time.
-func (r *Runner) advance() {
-	r.mu.Lock()
-	changed := r.opts.Router.Advance(r.opts.Clock())
-	var shares []policy.Share
-	if changed {
-		shares = r.opts.Router.Shares()
-	}
-	r.mu.Unlock()
-	if changed {
+func (r *Runner) advance() { r.apply(r.opts.Router.Advance) }
+
+// apply changes what the policy goes by and, where that changed the shares of
+// connections, puts them in force. Shares reach the carrier in the order in
+// which they were worked out.
+func (r *Runner) apply(change func(now time.Time) bool) {
+	r.applying.Lock()
+	defer r.applying.Unlock()
+	if shares, changed := r.sharesAfter(change); changed {
 		r.opts.Carrier.Apply(shares)
 	}
 }
+
+func (r *Runner) sharesAfter(change func(now time.Time) bool) (shares []policy.Share, changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !change(r.opts.Clock()) {
+		return nil, false
+	}
+	return r.opts.Router.Shares(), true
+}
--- a/traffic/runner.go
+++ b/traffic/runner.go
@@ -48,6 +48,10 @@
 type Runner struct {
 	opts Options
 
+	// applying orders what the carrier is told of shares; it is taken before
+	// mu.
+	applying sync.Mutex
+
 	mu       sync.Mutex
 	queries  map[query.RunID]chan query.Finish
 	commands map[command.RunID]chan command.Finish
@@ -86,12 +90,11 @@
 
 // SetView puts a view in force.
 func (r *Runner) SetView(v *view.View) {
-	r.mu.Lock()
-	r.opts.Router.Apply(r.opts.Clock(), v)
-	shares := r.opts.Router.Shares()
-	r.view.Store(v)
-	r.mu.Unlock()
-	r.opts.Carrier.Apply(shares)
+	r.apply(func(now time.Time) bool {
+		r.opts.Router.Apply(now, v)
+		r.view.Store(v)
+		return true
+	})
 }
 
 // NewSuspicions returns the crash suspects found since the last call.
--- a/traffic/timers.go
+++ b/traffic/timers.go
@@ -6,15 +6,15 @@
 func (r *Runner) Run() {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	shares := time.NewTicker(advanceEvery)
-	defer shares.Stop()
+	regular := time.NewTicker(tickEvery)
+	defer regular.Stop()
 	for {
 		timer.Reset(r.untilNext())
 		select {
 		case <-r.stop:
 			return
 		case <-r.wake:
-		case <-shares.C:
+		case <-regular.C:
 			r.advance()
 			r.tick()
 		case <-timer.C:
@@ -23,19 +23,16 @@
 	}
 }
 
-// advanceEvery is how often shares of connections are looked at.
-const advanceEvery = 250 * time.Millisecond
-
-// idleTick is how long Run sleeps when no query waits, so that commands'
-// claims are still forgotten in time.
-const idleTick = time.Second
+// tickEvery is how often the engines are ticked, and shares of connections
+// looked at, when no timer is due.
+const tickEvery = 250 * time.Millisecond
 
 // untilNext returns how long Run may sleep, and notes until when it does.
 func (r *Runner) untilNext() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.opts.Clock()
-	r.sleepsUntil = r.next(now.Add(idleTick))
+	r.sleepsUntil = r.next(now.Add(tickEvery))
 	return max(r.sleepsUntil.Sub(now), 0)
 }
 
