--- a/control/state_test.go
+++ b/control/state_test.go
@@ -387,7 +387,7 @@
 	w.nodes["h0-0"].state.Leave(w.now)
 	w.run(50 * time.Millisecond)
 	for _, id := range w.ids {
-		is.Equal(w.nodes[id].view.Live(), 8)
+		is.Equal(w.nodes[id].live(), 8)
 	}
 	w.dead["h0-0"] = true
 	w.run(time.Second)
@@ -396,7 +396,7 @@
 		w.start("h0-0", "dc-0")
 		w.run(5 * time.Second)
 		for _, id := range w.ids {
-			is.Equal(w.nodes[id].view.Live(), 9)
+			is.Equal(w.nodes[id].live(), 9)
 		}
 	})
 	t.Run("new host that the list lacks", func(t *testing.T) {
@@ -404,11 +404,11 @@
 		w.start("h0-9", "dc-0")
 		w.run(6 * time.Second)
 		for _, id := range w.ids {
-			is.Equal(w.nodes[id].view.Live(), 10)
+			is.Equal(w.nodes[id].live(), 10)
 		}
 		w.dead["h0-9"] = true
 		w.run(forgetAfter + 5*time.Second)
-		is.Equal(w.nodes["h1-1"].view.Live(), 9)
+		is.Equal(w.nodes["h1-1"].live(), 9)
 	})
 }
 
@@ -429,3 +429,14 @@
 	w.run(2 * time.Minute)
 	is.Equal(len(w.nodes["h1-1"].learned), 1)
 }
+
+// live returns how many hosts the node's view counts that are not leaving.
+func (n *node) live() int {
+	count := 0
+	for _, h := range n.view.Hosts {
+		if !h.Leaving {
+			count++
+		}
+	}
+	return count
+}
--- a/view/view.go
+++ b/view/view.go
@@ -78,14 +78,3 @@
 	}
 	return Host{}, false
 }
-
-// Live returns how many hosts are not leaving, at least 1.
-func (v *View) Live() int {
-	n := 0
-	for _, h := range v.Hosts {
-		if !h.Leaving {
-			n++
-		}
-	}
-	return max(n, 1)
-}
