--- a/platform/client/client.go
+++ b/configstore/client/client.go
@@ -11,8 +11,8 @@
 	"io"
 	"net/http"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/fault"
-	"github.com/figmast/figmast/platform"
 )
 
 // maxAnswerBytes bounds one answer: all documents of a fleet.
@@ -37,26 +37,26 @@
 }
 
 // Range reads every key with the prefix.
-func (c *Client) Range(ctx context.Context, prefix string) (*platform.RangeResponse, error) {
-	return c.read(ctx, platform.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+func (c *Client) Range(ctx context.Context, prefix string) (*configstore.RangeResponse, error) {
+	return c.read(ctx, configstore.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
 }
 
 // Revision returns the platform's newest revision without any values.
 func (c *Client) Revision(ctx context.Context) (int64, error) {
-	res, err := c.read(ctx, platform.RangeRequest{Key: []byte(platform.PrefixAll), RangeEnd: prefixEnd(platform.PrefixAll), CountOnly: true})
+	res, err := c.read(ctx, configstore.RangeRequest{Key: []byte(configstore.PrefixAll), RangeEnd: prefixEnd(configstore.PrefixAll), CountOnly: true})
 	if err != nil {
 		return 0, err
 	}
 	return int64(res.Header.Revision), nil
 }
 
-func (c *Client) read(ctx context.Context, r platform.RangeRequest) (*platform.RangeResponse, error) {
-	resp, err := c.post(ctx, platform.PathRange, r)
+func (c *Client) read(ctx context.Context, r configstore.RangeRequest) (*configstore.RangeResponse, error) {
+	resp, err := c.post(ctx, configstore.PathRange, r)
 	if err != nil {
 		return nil, c.fault("range", err)
 	}
 	defer resp.Body.Close()
-	var out platform.RangeResponse
+	var out configstore.RangeResponse
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&out); err != nil {
 		return nil, c.fault("range", err)
 	}
@@ -65,16 +65,16 @@
 
 // Watch hands each change from the revision on to f, until ctx is done or the
 // watch breaks. It always returns an error.
-func (c *Client) Watch(ctx context.Context, prefix string, from int64, f func(platform.WatchResult)) error {
-	req := platform.WatchRequest{CreateRequest: platform.WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: platform.Int64(from)}}
-	resp, err := c.post(ctx, platform.PathWatch, req)
+func (c *Client) Watch(ctx context.Context, prefix string, from int64, f func(configstore.WatchResult)) error {
+	req := configstore.WatchRequest{CreateRequest: configstore.WatchCreate{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: configstore.Int64(from)}}
+	resp, err := c.post(ctx, configstore.PathWatch, req)
 	if err != nil {
 		return c.fault("watch", err)
 	}
 	defer resp.Body.Close()
 	lines := json.NewDecoder(resp.Body)
 	for {
-		var line platform.WatchResponse
+		var line configstore.WatchResponse
 		if err := lines.Decode(&line); err != nil {
 			return c.fault("watch", err)
 		}
--- a/platform/platform.go
+++ b/configstore/platform.go
@@ -1,8 +1,8 @@
-// Package platform holds what the users' configuration service and host list
+// Package configstore holds what the users' configuration service and host list
 // publish. The protocol is the JSON form of etcd's v3 API: range reads and
 // watches; the system never writes. The package does no I/O; the client stands
-// in platform/client.
-package platform
+// in configstore/client.
+package configstore
 
 import (
 	"bytes"
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/view"
 )
 
@@ -39,18 +39,18 @@
 // loaded is a State that holds documents and hosts.
 func loaded(services, bytes, hosts int) *State {
 	s := NewState(Options{Self: view.Host{ID: "h-0", Address: "10.0.0.0:1", DataCentre: "dc-0"}, Rand: rand.New(rand.NewPCG(1, 1))})
-	all := &platform.RangeResponse{}
+	all := &configstore.RangeResponse{}
 	add := func(key string, value []byte) {
 		all.Header.Revision++
-		all.Kvs = append(all.Kvs, platform.KeyValue{Key: []byte(key), Value: value, CreateRevision: all.Header.Revision, ModRevision: all.Header.Revision})
+		all.Kvs = append(all.Kvs, configstore.KeyValue{Key: []byte(key), Value: value, CreateRevision: all.Header.Revision, ModRevision: all.Header.Revision})
 	}
 	for i := range services {
 		name := fmt.Sprintf("service-%d", i)
-		add(platform.PrefixServices+name, docOf(name, 1, bytes))
+		add(configstore.PrefixServices+name, docOf(name, 1, bytes))
 	}
 	for i := range hosts {
 		b, _ := json.Marshal(HostEntry{Address: fmt.Sprintf("10.0.%d.%d:1", i/256, i%256), DataCentre: fmt.Sprintf("dc-%d", i%6)})
-		add(fmt.Sprintf("%sh-%d", platform.PrefixHosts, i), b)
+		add(fmt.Sprintf("%sh-%d", configstore.PrefixHosts, i), b)
 	}
 	s.PlatformRead(epoch, all)
 	s.fresh.done = true
@@ -99,10 +99,10 @@
 			for b.Loop() {
 				version++
 				b.StopTimer()
-				revision := platform.Int64(s.Revision() + 1)
-				kv := platform.KeyValue{Key: []byte(platform.PrefixServices + "service-0"), Value: docOf("service-0", version, bytes), CreateRevision: 1, ModRevision: revision}
+				revision := configstore.Int64(s.Revision() + 1)
+				kv := configstore.KeyValue{Key: []byte(configstore.PrefixServices + "service-0"), Value: docOf("service-0", version, bytes), CreateRevision: 1, ModRevision: revision}
 				b.StartTimer()
-				s.PlatformChanged([]platform.Event{{Kv: kv}})
+				s.PlatformChanged([]configstore.Event{{Kv: kv}})
 				s.Tick(epoch)
 			}
 			b.ReportMetric(float64(len(s.table.services["service-0"].packed)), "bytes-to-a-peer")
@@ -170,7 +170,7 @@
 	const span = 24 * time.Second
 	w := newWorld(1)
 	w.fleet(relayCentres, hosts/relayCentres)
-	w.put(platform.PrefixServices+"a", docOf("a", 1, 10<<10))
+	w.put(configstore.PrefixServices+"a", docOf("a", 1, 10<<10))
 	w.run(10 * time.Second)
 	w.down = down
 	w.run(10 * time.Second)
@@ -185,7 +185,7 @@
 			messages[id]++
 		}
 	}
-	w.put(platform.PrefixServices+"a", docOf("a", 2, 10<<10))
+	w.put(configstore.PrefixServices+"a", docOf("a", 2, 10<<10))
 	least := hosts
 	w.run(span, func() { least = min(least, w.valid()) })
 	most, mostMessages, sum := 0, 0, 0
--- a/control/digest.go
+++ b/control/digest.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"sort"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/document"
-	"github.com/figmast/figmast/platform"
 )
 
 // maxPackedBytes bounds the documents in one answer. One document always
@@ -111,7 +111,7 @@
 	if len(d.Packed) == 0 {
 		return v, false
 	}
-	v = Verdict{Key: platform.PrefixServices + d.Name, Revision: d.Order.Revision}
+	v = Verdict{Key: configstore.PrefixServices + d.Name, Revision: d.Order.Revision}
 	v.Err = t.unpackService(d)
 	return v, true
 }
--- a/control/history_test.go
+++ b/control/history_test.go
@@ -11,8 +11,8 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/document"
-	"github.com/figmast/figmast/platform"
 )
 
 // ranked is a published document with its place in the order that operators
@@ -32,7 +32,7 @@
 	out := make(map[string]ranked)
 	for i, e := range w.changes {
 		doc, err := document.Parse(e.Kv.Value)
-		if e.Type != "PUT" || string(e.Kv.Key) != platform.PrefixServices+name || err != nil {
+		if e.Type != "PUT" || string(e.Kv.Key) != configstore.PrefixServices+name || err != nil {
 			continue
 		}
 		note := doc.Snapshots[0].ID
@@ -186,9 +186,9 @@
 		w.publish("a", s.version, s.note())
 		w.publish("a", max(s.version-1, 1), s.note())
 	},
-	"bad document": func(_ *rapid.T, w *world, _ *schedule) { w.put(platform.PrefixServices+"a", []byte("version: [")) },
+	"bad document": func(_ *rapid.T, w *world, _ *schedule) { w.put(configstore.PrefixServices+"a", []byte("version: [")) },
 	"removed and published anew": func(_ *rapid.T, w *world, s *schedule) {
-		w.del(platform.PrefixServices + "a")
+		w.del(configstore.PrefixServices + "a")
 		s.version = 1
 		w.publish("a", 1, s.note())
 	},
--- a/control/reader.go
+++ b/control/reader.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 )
 
 // Intervals of asking the platform.
@@ -85,7 +85,7 @@
 
 // PlatformRead reports everything that the platform holds, asked for at a
 // time.
-func (s *State) PlatformRead(asked time.Time, all *platform.RangeResponse) {
+func (s *State) PlatformRead(asked time.Time, all *configstore.RangeResponse) {
 	s.reader.calling = false
 	s.reader.loaded = true
 	s.fresh.platform = true
@@ -99,7 +99,7 @@
 	s.platformAt(asked, int64(all.Header.Revision))
 }
 
-func (s *State) putValue(kv platform.KeyValue) {
+func (s *State) putValue(kv configstore.KeyValue) {
 	before := s.table.hash()
 	v := s.table.put(kv)
 	if v.Err != nil || s.table.hash() != before {
@@ -107,14 +107,14 @@
 	}
 }
 
-func (s *State) dropMissing(revision int64, kvs []platform.KeyValue) {
+func (s *State) dropMissing(revision int64, kvs []configstore.KeyValue) {
 	services, hosts := make(map[string]bool), make(map[string]bool)
 	for _, kv := range kvs {
 		key := string(kv.Key)
 		if id, ok := hostKey(key); ok {
 			hosts[id] = true
-		} else if len(key) > len(platform.PrefixServices) {
-			services[key[len(platform.PrefixServices):]] = true
+		} else if len(key) > len(configstore.PrefixServices) {
+			services[key[len(configstore.PrefixServices):]] = true
 		}
 	}
 	for _, key := range s.table.prune(revision, services, hosts) {
@@ -123,13 +123,13 @@
 }
 
 // PlatformChanged takes in changes that a watch reports, oldest first.
-func (s *State) PlatformChanged(events []platform.Event) {
+func (s *State) PlatformChanged(events []configstore.Event) {
 	for _, e := range events {
 		revision := int64(e.Kv.ModRevision)
 		if revision <= s.table.revision {
 			continue
 		}
-		if e.Type == platform.EventDelete {
+		if e.Type == configstore.EventDelete {
 			if s.table.remove(Gone{Key: string(e.Kv.Key), Revision: revision}) {
 				s.removedKey(string(e.Kv.Key))
 			}
--- a/control/sim_test.go
+++ b/control/sim_test.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/document"
-	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/view"
 )
 
@@ -40,7 +40,7 @@
 	events []observed
 
 	// The platform: revision n is the state after the first n changes.
-	changes  []platform.Event
+	changes  []configstore.Event
 	changed  []time.Time
 	readable []time.Time // when a change could be read at the latest
 	down     bool
@@ -103,7 +103,7 @@
 
 func (w *world) list(id, dc string, leaving bool) {
 	b, _ := json.Marshal(HostEntry{Address: address(id), DataCentre: dc, Leaving: leaving})
-	w.put(platform.PrefixHosts+id, b)
+	w.put(configstore.PrefixHosts+id, b)
 }
 
 // addresses gives each id an IP number and port of its own.
@@ -135,12 +135,12 @@
 }
 
 func (w *world) put(key string, value []byte) int64 {
-	w.changes = append(w.changes, platform.Event{Type: "PUT", Kv: platform.KeyValue{Key: []byte(key), Value: value}})
+	w.changes = append(w.changes, configstore.Event{Type: "PUT", Kv: configstore.KeyValue{Key: []byte(key), Value: value}})
 	return w.stamp()
 }
 
 func (w *world) del(key string) int64 {
-	w.changes = append(w.changes, platform.Event{Type: platform.EventDelete, Kv: platform.KeyValue{Key: []byte(key)}})
+	w.changes = append(w.changes, configstore.Event{Type: configstore.EventDelete, Kv: configstore.KeyValue{Key: []byte(key)}})
 	return w.stamp()
 }
 
@@ -149,14 +149,14 @@
 	kv := &w.changes[last].Kv
 	w.changed = append(w.changed, w.now)
 	w.readable = append(w.readable, w.now)
-	kv.ModRevision = platform.Int64(last + 1)
+	kv.ModRevision = configstore.Int64(last + 1)
 	kv.CreateRevision = kv.ModRevision
 	for _, e := range w.changes[:last] {
 		switch {
 		case string(e.Kv.Key) != string(kv.Key):
-		case e.Type == platform.EventDelete:
-			kv.CreateRevision = platform.Int64(last + 1)
-		case kv.CreateRevision == platform.Int64(last+1):
+		case e.Type == configstore.EventDelete:
+			kv.CreateRevision = configstore.Int64(last + 1)
+		case kv.CreateRevision == configstore.Int64(last+1):
 			kv.CreateRevision = e.Kv.CreateRevision
 		}
 	}
@@ -164,16 +164,16 @@
 }
 
 // at returns what the platform held at a revision.
-func (w *world) at(revision int) *platform.RangeResponse {
-	values := make(map[string]platform.KeyValue)
+func (w *world) at(revision int) *configstore.RangeResponse {
+	values := make(map[string]configstore.KeyValue)
 	for _, e := range w.changes[:revision] {
-		if e.Type == platform.EventDelete {
+		if e.Type == configstore.EventDelete {
 			delete(values, string(e.Kv.Key))
 		} else {
 			values[string(e.Kv.Key)] = e.Kv
 		}
 	}
-	out := &platform.RangeResponse{Header: platform.Header{Revision: platform.Int64(revision)}}
+	out := &configstore.RangeResponse{Header: configstore.Header{Revision: configstore.Int64(revision)}}
 	for _, kv := range values {
 		out.Kvs = append(out.Kvs, kv)
 	}
@@ -360,7 +360,7 @@
 }
 
 func (w *world) publish(name string, version int, note string, out ...string) int64 {
-	return w.put(platform.PrefixServices+name, text(name, version, note, out...))
+	return w.put(configstore.PrefixServices+name, text(name, version, note, out...))
 }
 
 // inForce returns version and note of the document that a host holds, or "".
--- a/control/state.go
+++ b/control/state.go
@@ -8,7 +8,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/view"
 )
 
@@ -207,8 +207,8 @@
 }
 
 func hostKey(key string) (string, bool) {
-	if len(key) > len(platform.PrefixHosts) && key[:len(platform.PrefixHosts)] == platform.PrefixHosts {
-		return key[len(platform.PrefixHosts):], true
+	if len(key) > len(configstore.PrefixHosts) && key[:len(configstore.PrefixHosts)] == configstore.PrefixHosts {
+		return key[len(configstore.PrefixHosts):], true
 	}
 	return "", false
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -9,7 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 )
 
 // everyone returns what all live hosts hold of a service: "" if they differ.
@@ -179,19 +179,19 @@
 	publish := map[string]func(w *world){
 		"one version twice":   func(w *world) { w.publish("a", 5, "first"); w.publish("a", 5, "second") },
 		"lower version later": func(w *world) { w.publish("a", 5, "first"); w.publish("a", 4, "second") },
-		"bad document":        func(w *world) { w.publish("a", 5, "first"); w.put(platform.PrefixServices+"a", []byte("no: [")) },
+		"bad document":        func(w *world) { w.publish("a", 5, "first"); w.put(configstore.PrefixServices+"a", []byte("no: [")) },
 		"removed and published anew unseen": func(w *world) {
 			w.publish("a", 9, "x")
 			w.run(2 * time.Second)
 			w.down = true
-			w.del(platform.PrefixServices + "a")
+			w.del(configstore.PrefixServices + "a")
 			w.publish("a", 5, "first")
 			w.run(2 * time.Second)
 			w.down = false
 		},
 		"removed and published anew": func(w *world) {
 			w.publish("a", 9, "x")
-			w.del(platform.PrefixServices + "a")
+			w.del(configstore.PrefixServices + "a")
 			w.publish("a", 5, "first")
 		},
 	}
@@ -224,7 +224,7 @@
 	w.fleet(1, 2)
 	w.publish("a", 1, "x")
 	w.run(4 * time.Second)
-	w.put(platform.PrefixServices+"a", []byte("service: a\nversion: 2\nwrong: 1\n"))
+	w.put(configstore.PrefixServices+"a", []byte("service: a\nversion: 2\nwrong: 1\n"))
 	w.publish("b", 1, "x")
 	w.run(4 * time.Second)
 	refused := 0
@@ -232,7 +232,7 @@
 		if v.Err != nil {
 			refused++
 			is.True(strings.Contains(v.Err.Error(), "wrong")) // the place
-			is.Equal(v.Key, platform.PrefixServices+"a")
+			is.Equal(v.Key, configstore.PrefixServices+"a")
 		}
 	}
 	is.Equal(refused, 1)
@@ -248,7 +248,7 @@
 	old := w.publish("b", 1, "x")
 	w.run(4 * time.Second)
 	w.nodes["h0-0"].paused = w.now.Add(20 * time.Second)
-	w.del(platform.PrefixServices + "b")
+	w.del(configstore.PrefixServices + "b")
 	w.run(4 * time.Second)
 	for _, id := range []string{"h1-0", "h1-1", "h1-2"} {
 		w.staleFor[id] = int(old)
@@ -358,7 +358,7 @@
 		for j := range noise {
 			noise[j] = byte(w.rand.Uint32())
 		}
-		w.put(platform.PrefixServices+name, fmt.Appendf(doc, "# %x", noise))
+		w.put(configstore.PrefixServices+name, fmt.Appendf(doc, "# %x", noise))
 	}
 	w.run(4 * time.Second)
 	w.down = true
--- a/control/table.go
+++ b/control/table.go
@@ -10,8 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/document"
-	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/view"
 )
 
@@ -74,19 +74,19 @@
 func (t *table) removed(revision int64) bool { return revision <= t.revision }
 
 // put takes in one published value.
-func (t *table) put(kv platform.KeyValue) Verdict {
+func (t *table) put(kv configstore.KeyValue) Verdict {
 	key := string(kv.Key)
 	v := Verdict{Key: key, Revision: int64(kv.ModRevision)}
 	switch {
-	case strings.HasPrefix(key, platform.PrefixServices):
-		v.Err = t.putService(strings.TrimPrefix(key, platform.PrefixServices), kv)
-	case strings.HasPrefix(key, platform.PrefixHosts):
-		v.Err = t.putHost(strings.TrimPrefix(key, platform.PrefixHosts), kv)
+	case strings.HasPrefix(key, configstore.PrefixServices):
+		v.Err = t.putService(strings.TrimPrefix(key, configstore.PrefixServices), kv)
+	case strings.HasPrefix(key, configstore.PrefixHosts):
+		v.Err = t.putHost(strings.TrimPrefix(key, configstore.PrefixHosts), kv)
 	}
 	return v
 }
 
-func (t *table) putService(name string, kv platform.KeyValue) error {
+func (t *table) putService(name string, kv configstore.KeyValue) error {
 	order := Order{Created: int64(kv.CreateRevision), Revision: int64(kv.ModRevision)}
 	old := t.services[name]
 	if old == nil && t.removed(order.Revision) {
@@ -145,7 +145,7 @@
 	t.changed = true
 }
 
-func (t *table) putHost(id string, kv platform.KeyValue) error {
+func (t *table) putHost(id string, kv configstore.KeyValue) error {
 	l := listed{revision: int64(kv.ModRevision)}
 	err := json.Unmarshal(kv.Value, &l.entry)
 	if err == nil {
@@ -176,8 +176,8 @@
 // remove drops a key that was removed at a revision and reports whether that
 // was news.
 func (t *table) remove(g Gone) bool {
-	name, isService := strings.CutPrefix(g.Key, platform.PrefixServices)
-	id, isHost := strings.CutPrefix(g.Key, platform.PrefixHosts)
+	name, isService := strings.CutPrefix(g.Key, configstore.PrefixServices)
+	id, isHost := strings.CutPrefix(g.Key, configstore.PrefixHosts)
 	switch {
 	case isService && t.services[name] != nil && t.services[name].order.Revision < g.Revision:
 		delete(t.services, name)
@@ -205,12 +205,12 @@
 	var keys []string
 	for name, s := range t.services {
 		if !services[name] && s.order.Revision <= revision {
-			keys = append(keys, platform.PrefixServices+name)
+			keys = append(keys, configstore.PrefixServices+name)
 		}
 	}
 	for id, l := range t.hosts {
 		if !hosts[id] && l.revision <= revision {
-			keys = append(keys, platform.PrefixHosts+id)
+			keys = append(keys, configstore.PrefixHosts+id)
 		}
 	}
 	sort.Strings(keys)
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,9 +9,9 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/figmast/figmast/configstore/client"
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
-	"github.com/figmast/figmast/platform/client"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/timeline"
 	"github.com/figmast/figmast/traffic"
--- a/daemon/events.go
+++ b/daemon/events.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/control"
-	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/timeline"
 )
 
@@ -16,10 +16,10 @@
 		e.Kind = timeline.ConfigRefused
 		e.Detail += ": " + v.Err.Error()
 	}
-	if service, ok := strings.CutPrefix(v.Key, platform.PrefixServices); ok {
+	if service, ok := strings.CutPrefix(v.Key, configstore.PrefixServices); ok {
 		e.Service = service
 	}
-	if host, ok := strings.CutPrefix(v.Key, platform.PrefixHosts); ok {
+	if host, ok := strings.CutPrefix(v.Key, configstore.PrefixHosts); ok {
 		e.Peer = host
 	}
 	return e
--- a/daemon/reader.go
+++ b/daemon/reader.go
@@ -7,10 +7,10 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/figmast/figmast/configstore"
+	"github.com/figmast/figmast/configstore/client"
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/clock"
-	"github.com/figmast/figmast/platform"
-	"github.com/figmast/figmast/platform/client"
 )
 
 // watchRetry is the least time between two attempts to watch the platform.
@@ -49,7 +49,7 @@
 
 func (r *reader) read(ctx context.Context, s *control.State, everything bool, asked time.Time) (func(time.Time), error) {
 	if everything {
-		all, err := r.client.Range(ctx, platform.PrefixAll)
+		all, err := r.client.Range(ctx, configstore.PrefixAll)
 		return func(time.Time) { s.PlatformRead(asked, all) }, err
 	}
 	revision, err := r.client.Revision(ctx)
@@ -89,7 +89,7 @@
 
 // follow passes on changes until the watch breaks.
 func (r *reader) follow(ctx context.Context, s *control.State, from int64) {
-	err := r.client.Watch(ctx, platform.PrefixAll, from, func(res platform.WatchResult) {
+	err := r.client.Watch(ctx, configstore.PrefixAll, from, func(res configstore.WatchResult) {
 		r.pass(func(time.Time) { s.PlatformChanged(res.Events) })
 	})
 	r.log.Debug("watch of the platform ended", origin(err)...)
--- a/e2e/capacity_test.go
+++ b/e2e/capacity_test.go
@@ -16,8 +16,8 @@
 	"time"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/fake"
-	"github.com/figmast/figmast/platform"
 )
 
 // clockTick is the unit of processor time in /proc, in a second's fraction.
@@ -34,7 +34,7 @@
 func benchmarkQuery(b *testing.B, leaves int) {
 	f := newFleet(b)
 	servers := startBackends(b, leaves)
-	f.publish(platform.PrefixServices+"wide", wideService(servers))
+	f.publish(configstore.PrefixServices+"wide", wideService(servers))
 	h := f.addHost("127.0.0.2", "dc-0")
 	f.waitReady()
 	body, _ := json.Marshal(figmast.QueryRequest{Operation: "search", Payload: json.RawMessage(`{"yard":"17 Elm"}`)})
@@ -169,7 +169,7 @@
 	for i := range hosts {
 		f.addHost(fmt.Sprintf("127.0.2.%d", i+2), fmt.Sprintf("dc-%d", i%3))
 	}
-	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(1, "monday", servers))
 	f.waitReady()
 	time.Sleep(settleFor)
 	before, calls := f.use(), f.platformCalls()
--- a/e2e/command_test.go
+++ b/e2e/command_test.go
@@ -18,8 +18,8 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/command"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/fake"
-	"github.com/figmast/figmast/platform"
 )
 
 // commandFleet is two hosts that know each other, and four backend servers.
@@ -27,7 +27,7 @@
 	t.Helper()
 	f := newFleet(t)
 	servers := startBackends(t, 4)
-	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(1, "monday", servers))
 	f.addHost("127.0.0.2", "dc-0")
 	f.addHost("127.0.0.3", "dc-1")
 	f.waitReady()
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/fake"
-	"github.com/figmast/figmast/platform"
 )
 
 // version returns the version of the document that the host holds, or 0.
@@ -55,7 +55,7 @@
 	t.Helper()
 	f := newFleet(t)
 	servers := startBackends(t, 4)
-	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(1, "monday", servers))
 	for i := range 5 {
 		f.addHost(fmt.Sprintf("%s%d", f.subnet, 2+i), fmt.Sprintf("dc-%d", i%3))
 	}
@@ -73,7 +73,7 @@
 	calls := f.setMode(fake.Mode{}).Calls
 	time.Sleep(2 * time.Second)
 	t.Logf("%.1f calls a second to the platform from 5 hosts", float64(f.setMode(fake.Mode{Down: true}).Calls-calls)/2)
-	f.publish(platform.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
 	samples, unready := 0, 0
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for _, h := range f.hosts {
@@ -103,7 +103,7 @@
 	is := is.New(t)
 	f, servers := fiveHosts(t)
 	stale := f.setMode(fake.Mode{}).Revision
-	f.publish(platform.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
 	f.waitVersion(2)
 	f.setMode(fake.Mode{Stale: stale})
 	fresh := f.addHost(f.subnet+"7", "dc-0")
@@ -114,7 +114,7 @@
 	})
 	f.waitReady()
 	f.setMode(fake.Mode{})
-	f.publish(platform.PrefixServices+"route-search", routeSearch(3, "wednesday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(3, "wednesday", servers))
 	f.waitVersion(3)
 }
 
@@ -137,7 +137,7 @@
 	time.Sleep(500 * time.Millisecond)
 	signal(t, syscall.SIGSTOP, paused)
 	out := append(routeSearch(2, "tuesday", servers), "data_centres_out: [dc-0]\n"...)
-	f.publish(platform.PrefixServices+"route-search", out)
+	f.publish(configstore.PrefixServices+"route-search", out)
 	time.Sleep(4 * time.Second)
 	woken := time.Now()
 	signal(t, syscall.SIGCONT, paused)
--- a/e2e/daemon_test.go
+++ b/e2e/daemon_test.go
@@ -19,8 +19,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/certs"
-	"github.com/figmast/figmast/platform"
 )
 
 // exitCode waits for the process to end.
@@ -46,7 +46,7 @@
 	t.Helper()
 	f := newFleet(t)
 	servers := startBackends(t, 4)
-	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(1, "monday", servers))
 	h := f.addHost("127.0.0.2", "dc-0", extra...)
 	f.waitReady()
 	waitFor(t, "the document", func() bool { return query(h) == nil })
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -19,9 +19,9 @@
 	"time"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/document"
 	"github.com/figmast/figmast/internal/fake"
-	"github.com/figmast/figmast/platform"
 )
 
 // The fleet under faults: three data centres, each with one host and one
@@ -173,7 +173,7 @@
 func (s *scenario) replace(i int) {
 	old := s.hosts[i]
 	_ = old.cmd.Process.Kill()
-	s.fleet.unpublish(platform.PrefixHosts + old.id)
+	s.fleet.unpublish(configstore.PrefixHosts + old.id)
 	fresh := s.fleet.addHost(fmt.Sprintf("127.0.1.%d", 10+s.next.Add(1)%200), centre(i))
 	s.mu.Lock()
 	s.hosts[i] = fresh
@@ -188,7 +188,7 @@
 	if err != nil {
 		s.t.Fatalf("%s: %v", text, err)
 	}
-	s.fleet.publish(platform.PrefixServices+doc.Name, text)
+	s.fleet.publish(configstore.PrefixServices+doc.Name, text)
 	s.history.published = append(s.history.published, publication{at: time.Now(), doc: doc})
 }
 
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -18,11 +18,11 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/internal/certs"
 	"github.com/figmast/figmast/internal/fake"
 	localfleet "github.com/figmast/figmast/internal/fleet"
-	"github.com/figmast/figmast/platform"
 )
 
 // patience bounds every wait of a test for real processes.
@@ -160,7 +160,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	f.publish(platform.PrefixHosts+h.id, entry)
+	f.publish(configstore.PrefixHosts+h.id, entry)
 	f.hosts = append(f.hosts, h)
 	return h
 }
@@ -168,7 +168,7 @@
 // publish puts a value at the platform, as an operator would.
 func (f *fleet) publish(key string, value []byte) {
 	f.t.Helper()
-	var answer platform.RangeResponse
+	var answer configstore.RangeResponse
 	post(f.t, "http://"+f.platform+fake.PathPut, fake.PutRequest{Key: []byte(key), Value: value}, &answer)
 }
 
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	figmast "github.com/figmast/figmast"
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 )
 
 // routeSearch is a document of a service with two leaves of two servers.
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	f := newFleet(t)
 	servers := startBackends(t, 4)
-	f.publish(platform.PrefixServices+"route-search", routeSearch(1, "monday", servers))
+	f.publish(configstore.PrefixServices+"route-search", routeSearch(1, "monday", servers))
 	f.addHost("127.0.0.2", "dc-0")
 	f.addHost("127.0.0.3", "dc-1")
 	f.waitReady()
@@ -78,7 +78,7 @@
 		is.Equal(commandsRun(t, servers), 1)
 	})
 	t.Run("a changed document takes effect on both hosts", func(t *testing.T) {
-		f.publish(platform.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
+		f.publish(configstore.PrefixServices+"route-search", routeSearch(2, "tuesday", servers))
 		for _, h := range f.hosts {
 			waitFor(t, "the new snapshot", func() bool {
 				var ans figmast.QueryAnswer
--- a/e2e/rolling_test.go
+++ b/e2e/rolling_test.go
@@ -14,9 +14,9 @@
 	"github.com/matryer/is"
 
 	figmast "github.com/figmast/figmast"
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/internal/fake"
 	"github.com/figmast/figmast/load"
-	"github.com/figmast/figmast/platform"
 )
 
 // newScenario returns a running fleet of one host for each data centre.
@@ -64,7 +64,7 @@
 		s.mu.Unlock()
 		is.NoErr(old.cmd.Process.Signal(syscall.SIGTERM))
 		is.Equal(old.exitCode(t), 0)
-		s.fleet.unpublish(platform.PrefixHosts + old.id)
+		s.fleet.unpublish(configstore.PrefixHosts + old.id)
 	}
 	close(stop)
 	callers.Wait()
@@ -108,7 +108,7 @@
 		var done any
 		post(t, "http://"+backendAddress(srv)+fake.PathBehaviour, fake.Behaviour{Latency: stormLatency}, &done)
 	}
-	f.publish(platform.PrefixServices+"route-search", stormService(servers))
+	f.publish(configstore.PrefixServices+"route-search", stormService(servers))
 	h := f.addHost("127.0.0.2", "dc-0")
 	f.waitReady()
 	waitFor(t, "an answer", func() bool { return query(h) == nil })
--- /dev/null
+++ b/gateway/counters.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/figmast/figmast/forward"
+)
+
+// outcomeNames are the names of call outcomes in metrics.
+var outcomeNames = map[forward.Outcome]string{
+	forward.Answered: "answered", forward.NotRun: "not_run", forward.NotSent: "not_sent",
+	forward.Broken: "broken", forward.TimedOut: "timed_out", forward.Cancelled: "given_up",
+}
+
+// counters are a host's metrics.
+type counters struct {
+	set       *metrics.Set
+	calls     map[forward.Outcome]*metrics.Counter
+	callTimes *metrics.Histogram
+}
+
+func newCounters() *counters {
+	c := &counters{set: metrics.NewSet(), calls: make(map[forward.Outcome]*metrics.Counter)}
+	for o, name := range outcomeNames {
+		c.calls[o] = c.set.NewCounter(fmt.Sprintf(`figmast_backend_calls_total{outcome=%q}`, name))
+	}
+	c.callTimes = c.set.NewHistogram("figmast_backend_call_duration_seconds")
+	return c
+}
+
+func (c *counters) call(r forward.Reply, took time.Duration) {
+	c.calls[r.Outcome].Inc()
+	c.callTimes.Update(took.Seconds())
+}
+
+func (c *counters) request(route string, status int, took time.Duration) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`figmast_requests_total{route=%q,status="%d"}`, route, status)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`figmast_request_duration_seconds{route=%q}`, route)).Update(took.Seconds())
+}
+
+// handler serves the metrics as text.
+func (c *counters) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		c.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,64 @@
+// Package gateway runs a host on a deployment that publishes routes: it takes
+// callers' requests, lets package forward decide on them and carries that out.
+// The names and formats of the deployment's platform come from outside.
+package gateway
+
+import "time"
+
+// Settings of a host.
+type Settings struct {
+	// Host is its name, Address its IP address, DataCentre where it stands and
+	// Region where that lies.
+	Host       string
+	Address    string
+	DataCentre string
+	Region     string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
+
+	// CallerListen, ReadyListen and ControlListen are addresses to listen on;
+	// ControlListen may be empty.
+	CallerListen  string
+	ReadyListen   string
+	ControlListen string
+	// PeerPort is the port of the links between hosts, on every host.
+	PeerPort    int
+	MetricsPort int
+	// Seeds are the IP addresses of some hosts.
+	Seeds []string
+	// Store is the address of the metadata store.
+	Store string
+
+	// Capacity is this host's part of a core, MemoryBytes its memory.
+	Capacity    float64
+	MemoryBytes int64
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// ApplyWithin is how late a published change may take effect.
+	ApplyWithin time.Duration
+	// Heartbeat is how often backend servers renew their entries.
+	Heartbeat time.Duration
+
+	// RetryRatio and RetrySlack bound the calls beyond the first of each
+	// request, over all hosts, in RetryWindow.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// ColdOverage and ColdSlack bound what a cold server gets above its rate.
+	ColdOverage float64
+	ColdSlack   float64
+}
+
+// Headers names the headers that the deployment uses.
+type Headers struct {
+	RequestID    string
+	DeadlineMs   string
+	Signature    string
+	ExpectServer string
+	NotRun       string
+	// Signatures and Missing describe a merged answer.
+	Signatures string
+	Missing    string
+	// ReadyPath is asked for readiness.
+	ReadyPath string
+}
--- /dev/null
+++ b/http1/answer.go
@@ -0,0 +1,106 @@
+// Package http1 makes calls to backend servers over HTTP/1.1 connections that
+// it keeps. Unlike net/http's Transport it never sends a request a second time
+// by itself, passes requests on byte for byte, and tells exactly what is known
+// of a call that failed.
+package http1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Answer is a backend server's whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+const (
+	// maxAnswerBytes bounds an answer's body; answers are held in memory until
+	// they are whole.
+	maxAnswerBytes = 8 << 20
+	// maxInterim bounds the interim answers (1xx) before the final one.
+	maxInterim = 8
+	// maxStray bounds the answers to other requests that are skipped.
+	maxStray = 2
+)
+
+var (
+	errTooLarge = errors.New("the answer is too large")
+	errInterim  = errors.New("too many interim answers")
+	errStray    = errors.New("the answer belongs to another request")
+	errEncoded  = errors.New("the answer has a content coding that was not asked for")
+)
+
+// readAnswer reads the answer to a request with that method and ID. Late
+// answers to other requests are skipped.
+func readAnswer(r *bufio.Reader, method, idHeader, id string) (a *Answer, keep bool, err error) {
+	for range maxStray + 1 {
+		resp, err := readFinal(r, method)
+		if err != nil {
+			return nil, false, err
+		}
+		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+		if err != nil {
+			return nil, false, err
+		}
+		if len(body) > maxAnswerBytes {
+			return nil, false, errTooLarge
+		}
+		if echoed := resp.Header.Get(idHeader); echoed != "" && id != "" && echoed != id {
+			if resp.Close {
+				return nil, false, errStray
+			}
+			continue
+		}
+		if coding := resp.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
+			return nil, false, errEncoded
+		}
+		return &Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close, nil
+	}
+	return nil, false, errStray
+}
+
+// readFinal reads the head of a final answer.
+func readFinal(r *bufio.Reader, method string) (*http.Response, error) {
+	for range maxInterim {
+		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("unexpected status %d", resp.StatusCode)
+		}
+	}
+	return nil, errInterim
+}
+
+// keepAliveMargin is kept from the idle timeout that a server states, in whole
+// seconds, so that no request crosses its close.
+const keepAliveMargin = 1500 * time.Millisecond
+
+// idleLimit returns how long a connection may be idle by what the server says.
+func idleLimit(h http.Header, usual time.Duration) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			continue
+		}
+		return max(time.Duration(seconds)*time.Second-keepAliveMargin, 0)
+	}
+	return usual
+}
--- /dev/null
+++ b/http1/call.go
@@ -0,0 +1,115 @@
+package http1
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// State tells how far a call came.
+type State int
+
+// States of a call.
+const (
+	// Done calls have brought a whole answer.
+	Done State = iota
+	// NotSent calls have written nothing.
+	NotSent
+	// Broken calls have written something and have no whole answer.
+	Broken
+	// TimedOut calls have met their deadline, GivenUp ones were cancelled,
+	// after something was written.
+	TimedOut
+	GivenUp
+)
+
+// Call is one request to one server.
+type Call struct {
+	Peer Peer
+	// Method and ID are those of the request; Bytes is all of it as it is
+	// written, given the time left.
+	Method string
+	ID     string
+	Bytes  func(left time.Duration) []byte
+	// Deadline is when the server is no longer waited for.
+	Deadline time.Time
+	// Careful calls take no connection that the server may be closing.
+	Careful bool
+	// Guard is asked right before the first byte is written, if it is set.
+	Guard func() bool
+}
+
+var errLate = errors.New("the deadline passed before the request was sent")
+
+// Do makes the call once.
+func (p *Pool) Do(ctx context.Context, call Call) (*Answer, State, error) {
+	within := idleFor
+	if call.Careful {
+		within = freshFor
+	}
+	c := p.take(call.Peer, within)
+	if c == nil {
+		var err error
+		if c, err = p.dial(ctx, call.Peer); err != nil {
+			return nil, NotSent, err
+		}
+	}
+	left := call.Deadline.Sub(p.opts.Now())
+	if left <= 0 || ctx.Err() != nil || call.Guard != nil && !call.Guard() {
+		p.close(c)
+		return nil, NotSent, errLate
+	}
+	return p.exchange(ctx, c, call, left)
+}
+
+func (p *Pool) exchange(ctx context.Context, c *conn, call Call, left time.Duration) (*Answer, State, error) {
+	_ = c.SetDeadline(time.Now().Add(left))
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	written := writeRequest(c, call.Bytes(left))
+	answer, keep, err := readAnswer(c.r, call.Method, p.opts.RequestID, call.ID)
+	stopped := stop()
+	if err != nil {
+		p.close(c)
+		return nil, failure(ctx, err), err
+	}
+	select {
+	case werr := <-written:
+		keep = keep && werr == nil
+	default:
+		keep = false // the server has answered before it read everything
+	}
+	if !keep || !stopped || c.r.Buffered() > 0 {
+		p.close(c)
+		return answer, Done, nil
+	}
+	_ = c.SetDeadline(time.Time{})
+	c.limit = idleLimit(answer.Header, idleFor)
+	p.put(c)
+	return answer, Done, nil
+}
+
+// writeRequest writes the bytes, a long request beside the reading. The error
+// comes with the answer or from reading, which fails too.
+func writeRequest(c *conn, b []byte) <-chan error {
+	written := make(chan error, 1)
+	write := func() {
+		_, err := c.Write(b)
+		written <- err
+	}
+	if len(b) < writeAside {
+		write()
+	} else {
+		go write()
+	}
+	return written
+}
+
+func failure(ctx context.Context, err error) State {
+	switch {
+	case ctx.Err() != nil:
+		return GivenUp
+	case timedOut(err):
+		return TimedOut
+	}
+	return Broken
+}
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -9,7 +9,7 @@
 	"sort"
 	"sync"
 
-	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/configstore"
 )
 
 // Paths by which operators publish at the stand-in platform.
@@ -53,8 +53,8 @@
 type Platform struct {
 	mu       sync.Mutex
 	revision int64
-	values   map[string]platform.KeyValue
-	history  []platform.Event
+	values   map[string]configstore.KeyValue
+	history  []configstore.Event
 	changed  chan struct{}
 	calls    int64
 	mode     Mode
@@ -62,30 +62,30 @@
 
 // NewPlatform returns an empty platform at revision 1.
 func NewPlatform() *Platform {
-	return &Platform{revision: 1, values: make(map[string]platform.KeyValue), changed: make(chan struct{})}
+	return &Platform{revision: 1, values: make(map[string]configstore.KeyValue), changed: make(chan struct{})}
 }
 
 // Put publishes a value and returns its revision.
 func (p *Platform) Put(key string, value []byte) int64 {
-	return p.change(platform.Event{Type: "PUT", Kv: platform.KeyValue{Key: []byte(key), Value: value}})
+	return p.change(configstore.Event{Type: "PUT", Kv: configstore.KeyValue{Key: []byte(key), Value: value}})
 }
 
 // Delete removes a key and returns the revision.
 func (p *Platform) Delete(key string) int64 {
-	return p.change(platform.Event{Type: platform.EventDelete, Kv: platform.KeyValue{Key: []byte(key)}})
+	return p.change(configstore.Event{Type: configstore.EventDelete, Kv: configstore.KeyValue{Key: []byte(key)}})
 }
 
-func (p *Platform) change(e platform.Event) int64 {
+func (p *Platform) change(e configstore.Event) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.revision++
-	e.Kv.ModRevision = platform.Int64(p.revision)
+	e.Kv.ModRevision = configstore.Int64(p.revision)
 	e.Kv.CreateRevision = e.Kv.ModRevision
 	if old, ok := p.values[string(e.Kv.Key)]; ok {
 		e.Kv.CreateRevision = old.CreateRevision
 	}
 	p.history = append(p.history, e)
-	if e.Type == platform.EventDelete {
+	if e.Type == configstore.EventDelete {
 		delete(p.values, string(e.Kv.Key))
 	} else {
 		p.values[string(e.Kv.Key)] = e.Kv
@@ -111,7 +111,7 @@
 // ServeHTTP serves the platform's protocol.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
-	case platform.PathRange, platform.PathWatch:
+	case configstore.PathRange, configstore.PathWatch:
 		p.serveReader(w, r)
 	case PathMode:
 		serve(w, r, func(m Mode) any { return p.SetMode(m) })
@@ -133,15 +133,15 @@
 	switch {
 	case down:
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
-	case r.URL.Path == platform.PathRange:
+	case r.URL.Path == configstore.PathRange:
 		serve(w, r, p.readRange)
 	default:
 		p.watch(w, r)
 	}
 }
 
-func header(revision int64) platform.RangeResponse {
-	return platform.RangeResponse{Header: platform.Header{Revision: platform.Int64(revision)}}
+func header(revision int64) configstore.RangeResponse {
+	return configstore.RangeResponse{Header: configstore.Header{Revision: configstore.Int64(revision)}}
 }
 
 func serve[T any](w http.ResponseWriter, r *http.Request, f func(T) any) {
@@ -154,7 +154,7 @@
 	_ = json.NewEncoder(w).Encode(f(req))
 }
 
-func (p *Platform) readRange(q platform.RangeRequest) any {
+func (p *Platform) readRange(q configstore.RangeRequest) any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	revision, values := p.shown()
@@ -174,16 +174,16 @@
 
 // shown returns the revision and the values that reads are answered from. The
 // caller holds mu.
-func (p *Platform) shown() (int64, map[string]platform.KeyValue) {
+func (p *Platform) shown() (int64, map[string]configstore.KeyValue) {
 	if p.mode.Stale == 0 {
 		return p.revision, p.values
 	}
-	values := make(map[string]platform.KeyValue)
+	values := make(map[string]configstore.KeyValue)
 	for _, e := range p.history {
 		key := string(e.Kv.Key)
 		switch {
 		case int64(e.Kv.ModRevision) > p.mode.Stale:
-		case e.Type == platform.EventDelete:
+		case e.Type == configstore.EventDelete:
 			delete(values, key)
 		default:
 			values[key] = e.Kv
@@ -200,7 +200,7 @@
 }
 
 func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
-	var req platform.WatchRequest
+	var req configstore.WatchRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -216,8 +216,8 @@
 			return
 		}
 		if created || len(events) > 0 {
-			res := platform.WatchResult{Header: platform.Header{Revision: platform.Int64(revision)}, Created: created, Events: events}
-			if lines.Encode(platform.WatchResponse{Result: res}) != nil || out.Flush() != nil {
+			res := configstore.WatchResult{Header: configstore.Header{Revision: configstore.Int64(revision)}, Created: created, Events: events}
+			if lines.Encode(configstore.WatchResponse{Result: res}) != nil || out.Flush() != nil {
 				return
 			}
 		}
@@ -233,10 +233,10 @@
 
 // since returns the watched changes from a revision on, the newest revision,
 // and a channel that is closed at the next change.
-func (p *Platform) since(from int64, q platform.WatchCreate) ([]platform.Event, int64, <-chan struct{}, bool) {
+func (p *Platform) since(from int64, q configstore.WatchCreate) ([]configstore.Event, int64, <-chan struct{}, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var events []platform.Event
+	var events []configstore.Event
 	until, _ := p.shown()
 	for _, e := range p.history {
 		at := int64(e.Kv.ModRevision)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,12 +17,12 @@
 
 	"go.uber.org/fx"
 
+	"github.com/figmast/figmast/configstore"
 	"github.com/figmast/figmast/control"
 	"github.com/figmast/figmast/daemon"
 	"github.com/figmast/figmast/internal/certs"
 	"github.com/figmast/figmast/internal/fake"
 	"github.com/figmast/figmast/internal/sample"
-	"github.com/figmast/figmast/platform"
 )
 
 // loopback is where everything listens.
@@ -132,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	f.Platform.Put(platform.PrefixHosts+s.Host, entry)
+	f.Platform.Put(configstore.PrefixHosts+s.Host, entry)
 	h := &Host{Settings: s, app: daemon.New(s, f.opts.Logs)}
 	if err := h.app.Start(ctx); err != nil {
 		return fmt.Errorf("%s: %w", s.Host, err)
@@ -195,7 +195,7 @@
 // Publish publishes the service's document.
 func (f *Fleet) Publish(p sample.Published) {
 	doc := f.opts.Shape.Document(p, func(leaf, slot int) string { return f.addresses[f.opts.Shape.ServerID(leaf, slot)] })
-	f.Platform.Put(platform.PrefixServices+f.opts.Shape.Service, doc)
+	f.Platform.Put(configstore.PrefixServices+f.opts.Shape.Service, doc)
 }
 
 // Executions returns what the backend servers of a data centre have run; an
--- /dev/null
+++ b/news/feed/link.go
@@ -0,0 +1,289 @@
+package feed
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/figmast/figmast/news"
+)
+
+const (
+	// maxMessage bounds one message: every entry of a deployment of the size
+	// in two years, 3,300 servers of about 250 bytes and its configuration.
+	maxMessage = 16 << 20
+	// dialWithin bounds opening a link; hosts are about 1 ms apart.
+	dialWithin = 300 * time.Millisecond
+	// answerWithin bounds an answer to a poll, and writing one.
+	answerWithin = 500 * time.Millisecond
+	// childFor is how long a link on which nothing is asked stays open.
+	childFor = 10 * time.Second
+	// bufferBytes is the size of a link's read buffer; most messages are far
+	// smaller.
+	bufferBytes = 1 << 10
+)
+
+// link is a connection to a host that is asked for news.
+type link struct {
+	address string
+	polls   chan *news.Poll
+	done    chan struct{}
+	// asked holds when the poll in progress was sent; it belongs to the owner
+	// of the State.
+	nonce  uint64
+	asked  time.Time
+	next   time.Time
+	closed bool
+}
+
+// link keeps links to the upstreams and polls them.
+func (f *Feed) link(now time.Time) {
+	want := make(map[string]bool)
+	for _, address := range f.opts.State.Upstreams(now) {
+		want[address] = true
+		if f.links[address] == nil {
+			f.open(address)
+		}
+	}
+	for address, l := range f.links {
+		if !want[address] {
+			f.drop(l)
+			continue
+		}
+		f.poll(now, l)
+	}
+}
+
+func (f *Feed) poll(now time.Time, l *link) {
+	if !l.asked.IsZero() {
+		if now.Sub(l.asked) > answerWithin+dialWithin {
+			f.broken(now, l, errors.New("no answer in time"))
+		}
+		return
+	}
+	if now.Before(l.next) {
+		return
+	}
+	l.nonce++
+	l.asked = now
+	l.next = now.Add(f.opts.State.PollEvery())
+	l.polls <- f.opts.State.Poll(now, l.nonce)
+}
+
+func (f *Feed) open(address string) {
+	l := &link{address: address, polls: make(chan *news.Poll, 1), done: make(chan struct{})}
+	f.links[address] = l
+	f.closed.Add(1)
+	go f.serveLink(l)
+}
+
+func (f *Feed) drop(l *link) {
+	if !l.closed {
+		l.closed = true
+		close(l.done)
+	}
+	if f.links[l.address] == l {
+		delete(f.links, l.address)
+	}
+}
+
+func (f *Feed) broken(now time.Time, l *link, err error) {
+	if l.closed {
+		return
+	}
+	f.opts.Log("link lost", "peer", l.address, "err", err)
+	f.opts.State.Unreachable(now, l.address)
+	f.drop(l)
+}
+
+func (f *Feed) closeLinks() {
+	for _, l := range f.links {
+		f.drop(l)
+	}
+	for c := range f.children {
+		_ = c.conn.Close()
+	}
+}
+
+// serveLink sends polls and takes in updates until the link breaks.
+func (f *Feed) serveLink(l *link) {
+	defer f.closed.Done()
+	conn, err := net.DialTimeout("tcp", net.JoinHostPort(l.address, f.opts.Port), dialWithin)
+	if err != nil {
+		f.post(func(now time.Time) { f.broken(now, l, err) })
+		return
+	}
+	f.closed.Add(1)
+	go f.readLink(l, conn)
+	defer conn.Close()
+	for {
+		select {
+		case p := <-l.polls:
+			if err := writeMessage(conn, p); err != nil {
+				f.post(func(now time.Time) { f.broken(now, l, err) })
+				return
+			}
+		case <-l.done:
+			return
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Feed) readLink(l *link, conn net.Conn) {
+	defer f.closed.Done()
+	r := bufio.NewReaderSize(conn, bufferBytes)
+	for {
+		u := new(news.Update)
+		if err := readMessage(r, u); err != nil {
+			f.post(func(now time.Time) { f.broken(now, l, err) })
+			return
+		}
+		f.post(func(now time.Time) { f.takeUpdate(now, l, u) })
+	}
+}
+
+func (f *Feed) takeUpdate(now time.Time, l *link, u *news.Update) {
+	if l.closed {
+		return
+	}
+	var asked time.Time
+	if u.Nonce != 0 && u.Nonce == l.nonce {
+		asked = l.asked
+		l.asked = time.Time{}
+	}
+	f.opts.State.Heard(now, l.address)
+	f.opts.State.TakeUpdate(now, asked, u)
+}
+
+// child is a link of another host that asks this one.
+type child struct {
+	conn net.Conn
+	have int64
+	out  chan *news.Update
+}
+
+// childQueue is how many messages may wait for a slow child; it is cut off
+// beyond that and asks anew.
+const childQueue = 8
+
+func (f *Feed) accept() {
+	defer f.closed.Done()
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			if f.ctx.Err() != nil {
+				return
+			}
+			f.opts.Log("link not accepted", "err", err)
+			time.Sleep(tickEvery)
+			continue
+		}
+		c := &child{conn: conn, out: make(chan *news.Update, childQueue)}
+		f.closed.Add(2)
+		go f.writeChild(c)
+		go f.readChild(c)
+	}
+}
+
+func (f *Feed) readChild(c *child) {
+	defer f.closed.Done()
+	defer f.post(func(time.Time) {
+		delete(f.children, c)
+		close(c.out)
+	})
+	r := bufio.NewReaderSize(c.conn, bufferBytes)
+	f.post(func(time.Time) { f.children[c] = true })
+	for {
+		_ = c.conn.SetReadDeadline(time.Now().Add(childFor))
+		p := new(news.Poll)
+		if err := readMessage(r, p); err != nil {
+			_ = c.conn.Close()
+			return
+		}
+		f.post(func(now time.Time) {
+			u := f.opts.State.Answer(now, p)
+			c.have = u.Revision
+			f.sendChild(c, u)
+		})
+	}
+}
+
+// sendChild queues a message; it must be called by the owner of the State.
+func (f *Feed) sendChild(c *child, u *news.Update) {
+	select {
+	case c.out <- u:
+	default:
+		_ = c.conn.Close()
+	}
+}
+
+func (f *Feed) writeChild(c *child) {
+	defer f.closed.Done()
+	for {
+		select {
+		case u, ok := <-c.out:
+			if !ok {
+				return
+			}
+			if err := writeMessage(c.conn, u); err != nil {
+				_ = c.conn.Close()
+			}
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+// push sends news to the hosts that ask this one, without their asking.
+func (f *Feed) push(now time.Time) {
+	revision := f.opts.State.Revision()
+	var same *news.Update
+	var sameFor int64
+	for c := range f.children {
+		if c.have == 0 || c.have >= revision {
+			continue
+		}
+		if same == nil || sameFor != c.have {
+			same, sameFor = f.opts.State.News(now, c.have), c.have
+		}
+		c.have = revision
+		f.sendChild(c, same)
+	}
+}
+
+// writeMessage sends one message behind its length.
+func writeMessage(conn net.Conn, m any) error {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return err
+	}
+	b := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+4), uint32(len(body)))
+	_ = conn.SetWriteDeadline(time.Now().Add(answerWithin))
+	_, err = conn.Write(append(b, body...))
+	return err
+}
+
+// readMessage reads one message.
+func readMessage(r io.Reader, into any) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxMessage {
+		return fmt.Errorf("a message of %d bytes is too long", n)
+	}
+	body := make([]byte, n)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, into)
+}
--- /dev/null
+++ b/news/news.go
@@ -0,0 +1,100 @@
+// Package news keeps what a host knows of a deployment's published entries:
+// which are in force, how fresh they are, and from whom the next ones come.
+//
+// Few hosts read the metadata store; they pass what they read on to the others
+// over links between hosts. A host that hears nothing in time reads for itself.
+// The package does no I/O and reads no clock; package news/feed carries it out.
+package news
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/figmast/figmast/route"
+)
+
+// Item is one published entry, or its removal.
+type Item struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// Kind says what an entry is about.
+type Kind int
+
+// Kinds of entries.
+const (
+	KindOther Kind = iota
+	KindConfig
+	KindEvacuation
+	KindServer
+)
+
+// Decoder reads published entries.
+type Decoder interface {
+	// Classify returns what a key is about, and the data centre or the server
+	// that it names.
+	Classify(key string) (Kind, string)
+	Config(value []byte) (*route.Config, error)
+	Server(id string, value []byte) (route.Server, error)
+}
+
+// Store reads the metadata store.
+type Store interface {
+	// Range returns every entry and the revision that they hold since at the
+	// latest. A stale range may be seconds old.
+	Range(ctx context.Context, stale bool) ([]Item, int64, error)
+	// Watch returns what has changed after a revision, and the revision that
+	// it reaches; it waits that long for a first change. The error is
+	// ErrHistoryGone when the store no longer knows.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
+	// Reset drops open connections.
+	Reset()
+}
+
+// ErrHistoryGone says that changes since the revision are no longer known.
+var ErrHistoryGone = errors.New("the store's history does not reach back to the revision")
+
+// Poll is what a host sends over a link to ask for news.
+type Poll struct {
+	From  Note   `cbor:"1,keyasint"`
+	Nonce uint64 `cbor:"2,keyasint"`
+	// Have is the revision that the asking host has.
+	Have int64 `cbor:"3,keyasint"`
+	// Known is the hash of the members that it knows.
+	Known   uint64  `cbor:"4,keyasint"`
+	Crashes []Crash `cbor:"5,keyasint,omitempty"`
+}
+
+// Update answers a Poll; one with nonce 0 was not asked for.
+type Update struct {
+	Nonce    uint64 `cbor:"1,keyasint"`
+	Revision int64  `cbor:"2,keyasint"`
+	// AgeMs is how long ago the store was known to hold nothing newer, or -1.
+	AgeMs int64 `cbor:"3,keyasint"`
+	// Full is set when Items holds every entry.
+	Full  bool   `cbor:"4,keyasint,omitempty"`
+	Items []Item `cbor:"5,keyasint,omitempty"`
+	// Members is empty when the asking host knows the same.
+	Members []Note  `cbor:"6,keyasint,omitempty"`
+	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+}
+
+// Note names a host to others.
+type Note struct {
+	// Address is the host's IP address.
+	Address    string `cbor:"1,keyasint"`
+	DataCentre string `cbor:"2,keyasint,omitempty"`
+	// AgeMs is how long ago the host was heard of.
+	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Crash reports that a request ran on a backend server which then was gone.
+type Crash struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	Server      string `cbor:"2,keyasint"`
+	AgeMs       int64  `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/news/reading.go
@@ -0,0 +1,63 @@
+package news
+
+import "time"
+
+// Read is what to ask the store next.
+type Read int
+
+// Reads.
+const (
+	ReadNothing Read = iota
+	ReadRange
+	ReadWatch
+)
+
+// Parts of ApplyWithin.
+const (
+	// watchPart is how long a watch waits: its answer confirms that there is
+	// no news.
+	watchPart = 3
+	// silencePart is after how long without news a host reads for itself, and
+	// spreadPart by how much those that come later wait longer.
+	silencePart = 2
+	spreadPart  = 40
+	// spreadRanks is how many hosts wait for each other.
+	spreadRanks = 6
+	// pollPart is how often a host asks its upstreams.
+	pollPart = 6
+)
+
+// WatchWait returns how long a watch of the store waits for a first change.
+func (s *State) WatchWait() time.Duration { return s.opts.ApplyWithin / watchPart }
+
+// PollEvery returns how often to ask the upstreams.
+func (s *State) PollEvery() time.Duration { return s.opts.ApplyWithin / pollPart }
+
+// NextRead returns what to ask the store now.
+func (s *State) NextRead(now time.Time) Read {
+	if !s.reads(now) {
+		return ReadNothing
+	}
+	if s.revision == 0 {
+		return ReadRange
+	}
+	return ReadWatch
+}
+
+// reads reports whether this host reads the store: the first hosts do, and
+// those that have heard nothing from them in time.
+func (s *State) reads(now time.Time) bool {
+	if !s.members.joined && now.Sub(s.members.started) < joinWithin {
+		return false
+	}
+	rank := s.rank(now)
+	if rank < watchers {
+		return true
+	}
+	silence := s.opts.ApplyWithin/silencePart + time.Duration(min(rank, spreadRanks))*s.opts.ApplyWithin/spreadPart
+	heard := s.relayed
+	if heard.IsZero() {
+		heard = s.started
+	}
+	return now.Sub(heard) > silence
+}
--- /dev/null
+++ b/policy/balancer.go
@@ -0,0 +1,357 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figmast/figmast/route"
+)
+
+const (
+	// stuckCost makes a server with an overdue call the last choice.
+	stuckCost = 50
+	// loadCost is what each call in flight adds below the host's part of the
+	// server's slots.
+	loadCost = 0.1
+	// connectionShare is the part of a server's connections that the hosts use
+	// together, as some hosts are not known to each other for a moment.
+	connectionShare = 0.9
+	// localShare is the part of the connections for hosts of the server's own
+	// data centre where there are too few for all.
+	localShare = 0.65
+	// mostConnections bounds the calls in flight of one host to one server.
+	mostConnections = 16
+	// fewestHosts is what a host goes by that knows of fewer.
+	fewestHosts = 6
+	// hostsFor is how long hosts that have gone are still counted in sums over
+	// the fleet: the window of the retry budget, twice.
+	hostsFor = 20 * time.Second
+	// budgetShare is the part of the retry budget that is used.
+	budgetShare = 0.9
+)
+
+// BalancerOptions configure a Balancer.
+type BalancerOptions struct {
+	// Address and DataCentre are this host's own.
+	Address    string
+	DataCentre string
+	// Regions maps each data centre to its region.
+	Regions map[string]string
+	Rand    *rand.Rand
+	// RetryRatio and RetrySlack bound the calls beyond the first of each
+	// request that a service gets from all hosts in the window of the budget:
+	// a part of the requests, and a number.
+	RetryRatio float64
+	RetrySlack float64
+}
+
+// Balancer chooses backend servers and keeps the sums over all hosts: their
+// connections to a server, the calls to a cold server and the calls beyond the
+// first of each request. It is not safe for concurrent use.
+type Balancer struct {
+	opts  BalancerOptions
+	self  uint64
+	pools map[string]*targets
+	byKey map[route.Key]*Target
+
+	hosts  []uint64
+	local  int
+	most   int
+	mostAt time.Time
+	start  time.Time
+}
+
+// targets are the backend servers of one service.
+type targets struct {
+	name    string
+	service route.Service
+	list    []*Target
+	retries budget
+}
+
+// NewBalancer returns a Balancer that knows no servers.
+func NewBalancer(now time.Time, opts BalancerOptions) *Balancer {
+	b := &Balancer{
+		opts: opts, self: xxhash.Sum64String(opts.Address), start: now,
+		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target),
+	}
+	b.hosts, b.local, b.most = []uint64{b.self}, 1, fewestHosts
+	return b
+}
+
+// at converts a time for the record of failures.
+func (b *Balancer) at(now time.Time) time.Duration { return now.Sub(b.start) + time.Second }
+
+// ApplyPicture puts a picture in force. What was observed of lifetimes that
+// stay is kept.
+func (b *Balancer) ApplyPicture(now time.Time, p *route.Picture) {
+	for _, pool := range b.pools {
+		pool.list = pool.list[:0]
+	}
+	seen := make(map[route.Key]bool, len(p.Servers))
+	for _, s := range p.Servers {
+		t := b.target(now, p, s)
+		t.Draining, t.Slots = s.Draining, s.Slots
+		t.out = s.Draining || p.Evacuated[s.DataCentre]
+		if s.Cold != t.Cold {
+			t.Cold, t.coldUntil = s.Cold, now.Add(s.Cold)
+		}
+		seen[s.Key()] = true
+	}
+	for key, t := range b.byKey {
+		if !seen[key] {
+			t.out = true
+			delete(b.byKey, key)
+		}
+	}
+	b.share(now)
+}
+
+func (b *Balancer) target(now time.Time, p *route.Picture, s route.Server) *Target {
+	pool := b.pools[s.Service]
+	if pool == nil {
+		pool = &targets{name: s.Service, retries: newBudget(b.burst())}
+		b.pools[s.Service] = pool
+	}
+	if p.Config != nil {
+		pool.service = p.Config.Services[s.Service]
+	}
+	t := b.byKey[s.Key()]
+	if t == nil || t.pool != pool {
+		t = newTarget(now, pool, s)
+		t.local = s.DataCentre == b.opts.DataCentre
+		b.byKey[s.Key()] = t
+	}
+	pool.list = append(pool.list, t)
+	return t
+}
+
+// ApplyHosts takes in which hosts live: their addresses, and how many stand in
+// this host's data centre.
+func (b *Balancer) ApplyHosts(now time.Time, addresses []string, local int) {
+	if len(addresses) >= b.most || now.Sub(b.mostAt) > hostsFor {
+		b.most, b.mostAt = max(len(addresses), fewestHosts), now
+	}
+	if len(addresses) == len(b.hosts) && local == b.local && b.same(addresses) {
+		return
+	}
+	b.hosts = b.hosts[:0]
+	for _, a := range addresses {
+		b.hosts = append(b.hosts, xxhash.Sum64String(a))
+	}
+	b.local = max(local, 1)
+	for _, pool := range b.pools {
+		pool.retries.most = b.burst()
+	}
+	b.share(now)
+}
+
+func (b *Balancer) same(addresses []string) bool {
+	for i, a := range addresses {
+		if b.hosts[i] != xxhash.Sum64String(a) {
+			return false
+		}
+	}
+	return true
+}
+
+// burst is this host's part of the retry budget's number.
+func (b *Balancer) burst() float64 {
+	return max(budgetShare*b.opts.RetrySlack/float64(b.most), 1)
+}
+
+// share sets how many connections this host may hold to each server, and its
+// part of cold servers' allowances.
+func (b *Balancer) share(now time.Time) {
+	for _, pool := range b.pools {
+		for _, t := range pool.list {
+			t.limit = b.connections(pool, t)
+			t.shareCold(now, b.self, b.hosts)
+		}
+	}
+}
+
+// connections returns this host's part of a server's connections. Where there
+// are too few for two to each host, the hosts of its data centre come first,
+// and of the others those that prefer it over the service's further servers.
+func (b *Balancer) connections(pool *targets, t *Target) int {
+	all := pool.service.MaxConnections
+	if all <= 0 {
+		return mostConnections
+	}
+	hosts := max(len(b.hosts), b.most)
+	each := int(connectionShare * float64(all) / float64(hosts))
+	if each >= 2 {
+		return min(each, mostConnections)
+	}
+	if t.local {
+		return min(max(int(localShare*float64(all))/b.local, 1), mostConnections)
+	}
+	return 1
+}
+
+// Choice asks for a server.
+type Choice struct {
+	Service string
+	// Usual is the latency that the call is expected to have.
+	Usual time.Duration
+	// Tried servers are not chosen again.
+	Tried []*Target
+	// Spare is set for a call beside one in progress: it goes to no server
+	// that seems stuck.
+	Spare bool
+	// Homes are the regions that the request may be served in; empty means
+	// any.
+	Homes []string
+}
+
+// Choose returns the server for a call, or nil and why. Begin follows when the
+// call is sent.
+func (b *Balancer) Choose(now time.Time, c Choice) (*Target, Reason) {
+	pool := b.pools[c.Service]
+	if pool == nil {
+		return nil, NoServer
+	}
+	var best *Target
+	least, ties, reason := 0.0, 0, NoServer
+	at := b.at(now)
+	for _, t := range pool.list {
+		if slices.Contains(c.Tried, t) || len(c.Homes) > 0 && !slices.Contains(c.Homes, b.opts.Regions[t.DataCentre]) {
+			continue
+		}
+		if why := b.refuses(now, at, t, c.Spare); why != Picked {
+			if hope(why) > hope(reason) {
+				reason = why
+			}
+			continue
+		}
+		cost := b.cost(now, at, t)
+		switch {
+		case best == nil || cost < least/aboutEqual:
+			best, least, ties = t, cost, 1
+		case cost <= least*aboutEqual:
+			ties++
+			if b.opts.Rand.IntN(ties) == 0 {
+				best, least = t, min(cost, least)
+			}
+		}
+	}
+	if best == nil {
+		return nil, reason
+	}
+	return best, Picked
+}
+
+// refuses tells why a server may not get a call now.
+func (b *Balancer) refuses(now time.Time, at time.Duration, t *Target, spare bool) Reason {
+	switch {
+	case t.out:
+		return AllOut
+	case t.health.ejected(at):
+		return AllDown
+	case len(t.calls) >= t.limit:
+		return AllBusy
+	case spare && t.overdue(now):
+		return AllBusy
+	case !t.allowsCold(now, false):
+		return AllCold
+	}
+	return Picked
+}
+
+// cost of one more call to a server; the least wins.
+func (b *Balancer) cost(now time.Time, at time.Duration, t *Target) float64 {
+	part := float64(t.Slots) / float64(b.local)
+	if !t.local {
+		part = float64(t.Slots) / float64(len(b.hosts))
+	}
+	part = max(part, 1)
+	busy := float64(len(t.calls))
+	cost := t.slowness(now) * (1 + loadCost*busy + max(busy+1-part, 0)/part)
+	cost *= 1 + failureFactor*t.health.recent(at)
+	if !t.local {
+		cost *= awayFactor
+	}
+	if t.overdue(now) {
+		cost *= stuckCost
+	}
+	return cost
+}
+
+// Begin records that a call to a server starts; first is set for the first
+// call of a request to the service.
+func (b *Balancer) Begin(now time.Time, t *Target, usual time.Duration, first bool) *Call {
+	c := &Call{Target: t, Sent: now, Usual: usual}
+	t.calls = append(t.calls, c)
+	t.allowsCold(now, true)
+	if first {
+		t.pool.retries.earn(budgetShare * b.opts.RetryRatio)
+	}
+	return c
+}
+
+// SpendRetry takes one call beyond the first of a request from the service's
+// budget and reports whether there was one.
+func (b *Balancer) SpendRetry(service string) bool {
+	pool := b.pools[service]
+	return pool != nil && pool.retries.spend()
+}
+
+// RetryLeft returns how many calls the service's budget has left.
+func (b *Balancer) RetryLeft(service string) float64 {
+	if pool := b.pools[service]; pool != nil {
+		return pool.retries.tokens
+	}
+	return 0
+}
+
+// Done records how a call has ended.
+func (b *Balancer) Done(now time.Time, c *Call, result Result) {
+	t := c.Target
+	for i, x := range t.calls {
+		if x == c {
+			t.calls[i] = t.calls[len(t.calls)-1]
+			t.calls[len(t.calls)-1] = nil
+			t.calls = t.calls[:len(t.calls)-1]
+			break
+		}
+	}
+	at, latency := b.at(now), now.Sub(c.Sent)
+	switch result {
+	case ResultOK:
+		t.health.succeed()
+		t.answered(now, latency, c.Usual)
+	case ResultCancelled, ResultTimeout:
+		if latency > c.Usual {
+			t.answered(now, latency, c.Usual)
+		}
+	case ResultShed:
+		t.health.suffer(at, shedWeight)
+	case ResultFailed:
+		t.health.fail(at)
+		t.health.fail(at)
+	case ResultBroken:
+		t.health.suffer(at, 1)
+	case ResultNoVerdict:
+	}
+}
+
+// Servers returns how many servers of the service may get calls, and how many
+// calls this host may have in flight to them together.
+func (b *Balancer) Servers(now time.Time, service string) (usable, room int) {
+	pool := b.pools[service]
+	if pool == nil {
+		return 0, 0
+	}
+	at := b.at(now)
+	for _, t := range pool.list {
+		if !t.out && !t.health.ejected(at) {
+			usable++
+			room += t.limit
+		}
+	}
+	return usable, room
+}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -29,6 +29,7 @@
 	NoServer     Reason = "no_server"     // the leaf has none left to try
 	AllOut       Reason = "all_out"       // data centres out or servers leaving
 	AllBusy      Reason = "all_busy"      // limits of all servers reached
+	AllDown      Reason = "all_down"      // no server can be reached
 	AllCold      Reason = "all_cold"      // allowance of cold servers reached
 	Suspect      Reason = "crash_suspect" // the request has crashed servers
 	StaleView    Reason = "stale_view"    // the view may not be acted on
@@ -191,10 +192,12 @@
 	switch r {
 	case AllOut:
 		return 1
-	case AllCold:
+	case AllDown:
 		return 2
-	case AllBusy:
+	case AllCold:
 		return 3
+	case AllBusy:
+		return 4
 	}
 	return 0
 }
--- /dev/null
+++ b/policy/target.go
@@ -0,0 +1,169 @@
+package policy
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/figmast/figmast/route"
+)
+
+const (
+	// factorRise and factorFall are the parts of the way that the latency
+	// factor moves towards a new sample: a slow server is left early.
+	factorRise = 0.25
+	factorFall = 0.25
+	// mostFactor bounds one sample, so that one pause does not hide what the
+	// server usually does.
+	mostFactor = 8
+	// slowSample is a latency factor that counts as slow.
+	slowSample = 2.5
+	// factorHalfLife is how fast the factor of a server that gets no calls
+	// fades to 1; it doubles with each slow answer in a row up to mostStreak.
+	factorHalfLife = 500 * time.Millisecond
+	mostStreak     = 3
+	// overdueFactor times the usual latency, and at least overdueLeast, mark a
+	// call as overdue: shards pause for a quarter of a second at a time.
+	overdueFactor = 3
+	overdueLeast  = 15 * time.Millisecond
+	// coldShare is the part of a cold server's allowance that the hosts use
+	// together, as their views of each other differ for a moment.
+	coldShare = 0.7
+)
+
+// Target is one lifetime of a backend server with what this host has observed
+// of it. The exported fields never change; the rest belongs to the Balancer.
+type Target struct {
+	route.Server
+
+	pool  *targets
+	hash  uint64
+	local bool
+	// out targets get no new calls.
+	out bool
+	// limit is how many calls this host may have in flight to it.
+	limit int
+	calls []*Call
+
+	factor   float64
+	factorAt time.Time
+	streak   int
+	health   health
+
+	coldUntil time.Time
+	cold      budget
+	coldRate  float64
+	coldAt    time.Time
+}
+
+// Call is a call to a target in progress.
+type Call struct {
+	Target *Target
+	// Sent is when the call began, Usual the latency that it was expected to
+	// have then.
+	Sent  time.Time
+	Usual time.Duration
+}
+
+func newTarget(now time.Time, p *targets, s route.Server) *Target {
+	t := &Target{Server: s, pool: p, hash: xxhash.Sum64String(s.ID + "\x00" + s.Address), factor: 1, factorAt: now}
+	if s.Cold > 0 {
+		t.coldUntil = now.Add(s.Cold)
+	}
+	return t
+}
+
+// overdue reports whether a call has taken so long that the server seems to be
+// stuck.
+func (t *Target) overdue(now time.Time) bool {
+	for _, c := range t.calls {
+		if c.Overdue(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Overdue reports whether the call has taken much longer than usual.
+func (c *Call) Overdue(now time.Time) bool {
+	return now.Sub(c.Sent) > max(overdueFactor*c.Usual, overdueLeast)
+}
+
+// slowness returns the latency factor as it has faded.
+func (t *Target) slowness(now time.Time) float64 {
+	idle := now.Sub(t.factorAt)
+	if idle <= 0 {
+		return t.factor
+	}
+	life := float64(factorHalfLife << t.streak)
+	return 1 + (t.factor-1)*math.Exp2(-float64(idle)/life)
+}
+
+// answered takes in a call's latency against what is usual.
+func (t *Target) answered(now time.Time, latency, usual time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	sample := min(float64(latency)/float64(usual), mostFactor)
+	factor := t.slowness(now)
+	part := factorFall
+	if sample > factor {
+		part = factorRise
+	}
+	t.factor = factor + part*(sample-factor)
+	t.factorAt = now
+	if sample >= slowSample {
+		t.streak = min(t.streak+1, mostStreak)
+		return
+	}
+	t.streak = 0
+}
+
+// allowsCold reports whether the target may get one more call in its cold
+// start, and counts the call when it is taken.
+func (t *Target) allowsCold(now time.Time, take bool) bool {
+	if t.coldRate == 0 && t.pool.service.ColdRate <= 0 || !now.Before(t.coldUntil) {
+		return true
+	}
+	t.cold.earn(now.Sub(t.coldAt).Seconds() * t.coldRate)
+	t.coldAt = now
+	if t.cold.tokens < 1 {
+		return false
+	}
+	if take {
+		t.cold.spend()
+	}
+	return true
+}
+
+// shareCold sets this host's part of a cold server's allowance: few hosts send
+// to it, those that come first by rendezvous hash.
+func (t *Target) shareCold(now time.Time, self uint64, hosts []uint64) {
+	rate := t.pool.service.ColdRate
+	if rate <= 0 {
+		return
+	}
+	senders := min(max(int(rate*coldShare/2), 1), len(hosts))
+	t.coldRate = 0
+	t.cold.most = 1
+	if rankAmong(t.hash, self, hosts) < senders {
+		t.coldRate = rate * coldShare / float64(senders)
+	}
+	if t.coldAt.IsZero() {
+		t.coldAt = now
+	}
+}
+
+// rankAmong returns how many hosts come before this one by rendezvous hash
+// with a key.
+func rankAmong(key, self uint64, hosts []uint64) int {
+	own := rendezvous(self, key)
+	n := 0
+	for _, h := range hosts {
+		if h != self && rendezvous(h, key) < own {
+			n++
+		}
+	}
+	return n
+}
