--- a/forward/part.go
+++ b/forward/part.go
@@ -201,7 +201,7 @@
 
 // due returns when the part wants a tick.
 func (p *part) due() (time.Time, bool) {
-	if p.state != partOpen || p.spareAt.IsZero() {
+	if p.state != partOpen || p.spareAt.IsZero() || len(p.calls) == 0 {
 		return time.Time{}, false
 	}
 	return p.spareAt, true
