News flow from strong hosts over leaders of each data centre, compressed

Hosts now link to two leaders of their data centre, leaders to the two watchers; the strongest come first.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,6 +82,7 @@
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
 	state := news.NewState(g.started, news.Options{
 		Address: s.Address, DataCentre: s.DataCentre, Seeds: s.Seeds, Decoder: p.Decoder,
+		Strength:    s.Strength,
 		ApplyWithin: s.ApplyWithin, Log: event,
 	})
 	port := strconv.Itoa(s.PeerPort)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -29,8 +29,9 @@
 	// Store is the address of the metadata store.
 	Store string
 
-	// Capacity is this host's part of a core, MemoryBytes its memory.
-	Capacity    float64
+	// Strength is higher for hosts that had better pass on news to many.
+	Strength int
+	// MemoryBytes is the host's memory.
 	MemoryBytes int64
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
--- a/news/feed/link.go
+++ b/news/feed/link.go
@@ -2,22 +2,14 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"net"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/figmast/figmast/news"
 )
 
 const (
-	// maxMessage bounds one message: every entry of a deployment of the size
-	// in two years, 3,300 servers of about 250 bytes and its configuration.
-	maxMessage = 16 << 20
 	// dialWithin bounds opening a link; hosts are about 1 ms apart.
 	dialWithin = 300 * time.Millisecond
 	// answerWithin bounds an answer to a poll, and writing one.
@@ -34,6 +26,7 @@
 	address string
 	polls   chan *news.Poll
 	done    chan struct{}
+	last    *news.Update
 	// asked holds when the poll in progress was sent; it belongs to the owner
 	// of the State.
 	nonce  uint64
@@ -45,7 +38,8 @@
 // link keeps links to the upstreams and polls them.
 func (f *Feed) link(now time.Time) {
 	want := make(map[string]bool)
-	for _, address := range f.opts.State.Upstreams(now) {
+	upstreams := f.opts.State.Upstreams(now)
+	for _, address := range upstreams {
 		want[address] = true
 		if f.links[address] == nil {
 			f.open(address)
@@ -56,11 +50,11 @@
 			f.drop(l)
 			continue
 		}
-		f.poll(now, l)
+		f.poll(now, l, address == upstreams[0])
 	}
 }
 
-func (f *Feed) poll(now time.Time, l *link) {
+func (f *Feed) poll(now time.Time, l *link, push bool) {
 	if !l.asked.IsZero() {
 		if now.Sub(l.asked) > answerWithin+dialWithin {
 			f.broken(now, l, errors.New("no answer in time"))
@@ -73,7 +67,7 @@
 	l.nonce++
 	l.asked = now
 	l.next = now.Add(f.opts.State.PollEvery())
-	l.polls <- f.opts.State.Poll(now, l.nonce)
+	l.polls <- f.opts.State.Poll(now, l.nonce, l.address, l.last, push)
 }
 
 func (f *Feed) open(address string) {
@@ -158,8 +152,9 @@
 	if u.Nonce != 0 && u.Nonce == l.nonce {
 		asked = l.asked
 		l.asked = time.Time{}
+		l.last = u
 	}
-	f.opts.State.Heard(now, l.address)
+	f.opts.State.Heard(now, l.address, u)
 	f.opts.State.TakeUpdate(now, asked, u)
 }
 
@@ -167,7 +162,8 @@
 type child struct {
 	conn net.Conn
 	have int64
-	out  chan *news.Update
+	push bool
+	out  chan []byte
 }
 
 // childQueue is how many messages may wait for a slow child; it is cut off
@@ -186,7 +182,7 @@
 			time.Sleep(tickEvery)
 			continue
 		}
-		c := &child{conn: conn, out: make(chan *news.Update, childQueue)}
+		c := &child{conn: conn, out: make(chan []byte, childQueue)}
 		f.closed.Add(2)
 		go f.writeChild(c)
 		go f.readChild(c)
@@ -210,16 +206,28 @@
 		}
 		f.post(func(now time.Time) {
 			u := f.opts.State.Answer(now, p)
-			c.have = u.Revision
-			f.sendChild(c, u)
+			c.have, c.push = u.Revision, p.Push
+			f.sendChild(c, f.encode(u))
 		})
 	}
 }
 
+// encode returns a message as it is sent, or nil.
+func (f *Feed) encode(u *news.Update) []byte {
+	b, err := encodeMessage(u)
+	if err != nil {
+		f.opts.Log("message not encoded", "err", err)
+	}
+	return b
+}
+
 // sendChild queues a message; it must be called by the owner of the State.
-func (f *Feed) sendChild(c *child, u *news.Update) {
+func (f *Feed) sendChild(c *child, b []byte) {
+	if b == nil {
+		return
+	}
 	select {
-	case c.out <- u:
+	case c.out <- b:
 	default:
 		_ = c.conn.Close()
 	}
@@ -229,11 +237,11 @@
 	defer f.closed.Done()
 	for {
 		select {
-		case u, ok := <-c.out:
+		case b, ok := <-c.out:
 			if !ok {
 				return
 			}
-			if err := writeMessage(c.conn, u); err != nil {
+			if err := writeBytes(c.conn, b); err != nil {
 				_ = c.conn.Close()
 			}
 		case <-f.ctx.Done():
@@ -245,45 +253,16 @@
 // push sends news to the hosts that ask this one, without their asking.
 func (f *Feed) push(now time.Time) {
 	revision := f.opts.State.Revision()
-	var same *news.Update
+	var same []byte
 	var sameFor int64
 	for c := range f.children {
-		if c.have == 0 || c.have >= revision {
+		if !c.push || c.have == 0 || c.have >= revision {
 			continue
 		}
 		if same == nil || sameFor != c.have {
-			same, sameFor = f.opts.State.News(now, c.have), c.have
+			same, sameFor = f.encode(f.opts.State.News(now, c.have)), c.have
 		}
 		c.have = revision
 		f.sendChild(c, same)
 	}
 }
-
-// writeMessage sends one message behind its length.
-func writeMessage(conn net.Conn, m any) error {
-	body, err := cbor.Marshal(m)
-	if err != nil {
-		return err
-	}
-	b := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+4), uint32(len(body)))
-	_ = conn.SetWriteDeadline(time.Now().Add(answerWithin))
-	_, err = conn.Write(append(b, body...))
-	return err
-}
-
-// readMessage reads one message.
-func readMessage(r io.Reader, into any) error {
-	var size [4]byte
-	if _, err := io.ReadFull(r, size[:]); err != nil {
-		return err
-	}
-	n := binary.BigEndian.Uint32(size[:])
-	if n > maxMessage {
-		return fmt.Errorf("a message of %d bytes is too long", n)
-	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
-	}
-	return cbor.Unmarshal(body, into)
-}
--- a/news/members.go
+++ b/news/members.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -12,14 +14,21 @@
 	// memberFor is how long a host that is not heard of is taken to live; polls
 	// come several times as often.
 	memberFor = 4 * time.Second
-	// watchers is how many hosts read the store at a time, so that the loss of
-	// one goes unnoticed.
+	// watchers is how many hosts read the store at a time, and leaders how
+	// many of a data centre pass on what they say, so that the loss of one
+	// goes unnoticed.
 	watchers = 2
+	leaders  = 2
 	// joinWithin is how long a starting host waits for a seed before it counts
 	// itself among those that may read the store; hosts start within 0.3 s.
-	joinWithin = 900 * time.Millisecond
-	// avoidFor is how long a host that did not answer is not asked again.
-	avoidFor = 1500 * time.Millisecond
+	joinWithin = 1200 * time.Millisecond
+	// avoidFor is how long a host that did not answer is not asked again, and
+	// avoidAtStart the same while this host has not heard from any.
+	avoidFor     = 1500 * time.Millisecond
+	avoidAtStart = 150 * time.Millisecond
+	// unknownStrength puts seeds of which nothing is known before other hosts,
+	// so that a new host asks them first.
+	unknownStrength = math.MaxInt32
 )
 
 // Host is another host of the deployment, or this one.
@@ -28,177 +37,216 @@
 	DataCentre string
 }
 
+// member is a host with its place in the order that all hosts agree on: the
+// strongest first, then by hash. News flow from earlier hosts to later ones.
 type member struct {
-	Host
-	rank  uint64
+	Note
+	hash uint64
+}
+
+func newMember(n Note) member { return member{n, xxhash.Sum64String(n.Address)} }
+
+func (m member) compare(o member) int {
+	return cmp.Or(-cmp.Compare(m.Strength, o.Strength), cmp.Compare(m.hash, o.hash))
+}
+
+// told is what one linked host says of others.
+type told struct {
+	list  []Note
 	heard time.Time
-	// avoid is until when the member is not asked for news.
-	avoid time.Time
-	// seed members are kept even while nothing is heard of them.
-	seed bool
 }
 
-// members are the hosts that are taken to live.
+// members are the hosts that are taken to live. A host knows those that poll
+// it and what they know below them; the others it knows from its upstreams.
 type members struct {
-	self    string
+	self    member
+	seeds   []string
 	started time.Time
 	joined  bool
-	list    []*member
-	// most is the largest number of hosts seen of late.
-	most   int
-	mostAt time.Time
+	below   map[string]*told
+	above   map[string]*told
+	avoid   map[string]time.Time
+	// known is what was last heard of the seeds, so that their place in the
+	// order holds while there is no link to them.
+	known map[string]Note
+}
+
+func newMembers(now time.Time, opts Options) members {
+	return members{
+		self:  newMember(Note{Address: opts.Address, DataCentre: opts.DataCentre, Strength: opts.Strength}),
+		seeds: opts.Seeds, started: now, joined: slices.Contains(opts.Seeds, opts.Address),
+		below: make(map[string]*told), above: make(map[string]*told), avoid: make(map[string]time.Time),
+		known: make(map[string]Note),
+	}
 }
 
-func (m *members) init(now time.Time, opts Options) {
-	m.self, m.started = opts.Address, now
-	for _, seed := range opts.Seeds {
-		m.add(seed, "").seed = true
-	}
-	self := m.add(opts.Address, opts.DataCentre)
-	m.joined = self.seed
+// lapse forgets the hosts that have gone silent. What an upstream said holds
+// for that long after its link is dropped too: the next one has yet to answer.
+func (m *members) lapse(now time.Time) {
+	silent := func(_ string, t *told) bool { return now.Sub(t.heard) > memberFor }
+	maps.DeleteFunc(m.below, silent)
+	maps.DeleteFunc(m.above, silent)
+	maps.DeleteFunc(m.avoid, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-func (m *members) add(address, dataCentre string) *member {
-	i := slices.IndexFunc(m.list, func(x *member) bool { return x.Address == address })
-	if i < 0 {
-		m.list = append(m.list, &member{Host: Host{Address: address}, rank: xxhash.Sum64String(address)})
-		i = len(m.list) - 1
-		slices.SortFunc(m.list, func(a, b *member) int { return cmp.Compare(a.rank, b.rank) })
-		i = slices.IndexFunc(m.list, func(x *member) bool { return x.Address == address })
-	}
-	if dataCentre != "" {
-		m.list[i].DataCentre = dataCentre
+// subtree names this host, those that poll it, and those below them.
+func (m *members) subtree() []Note { return gather(m.self.Note, m.below) }
+
+// gather returns the notes of one host and of all that others tell, in order
+// of address.
+func gather(own Note, from map[string]*told) []Note {
+	all := map[string]Note{own.Address: own}
+	for _, t := range from {
+		for _, n := range t.list {
+			if known, ok := all[n.Address]; !ok || known.DataCentre == "" {
+				all[n.Address] = n
+			}
+		}
 	}
-	return m.list[i]
+	out := slices.Collect(maps.Values(all))
+	slices.SortFunc(out, func(a, b Note) int { return cmp.Compare(a.Address, b.Address) })
+	return out
 }
 
-// polled notes that a host has asked for news.
-func (m *members) polled(now time.Time, n Note) {
-	x := m.add(n.Address, n.DataCentre)
-	x.heard = now
-	x.avoid = time.Time{}
+// live names every host that is taken to live.
+func (m *members) live(now time.Time) []Note {
+	m.lapse(now)
+	from := maps.Clone(m.below)
+	for address, t := range m.above {
+		from["above "+address] = t
+	}
+	return gather(m.self.Note, from)
 }
 
-// heard takes in the members that another host knows.
-func (m *members) heard(now time.Time, notes []Note) {
-	for _, n := range notes {
-		at := now.Add(-time.Duration(n.AgeMs) * time.Millisecond)
-		x := m.add(n.Address, n.DataCentre)
-		if at.After(x.heard) {
-			x.heard = at
+// order returns the live hosts, and while this one is new the seeds, in the
+// order of the flow of news.
+func (m *members) order(now time.Time) []member {
+	var out []member
+	for _, n := range m.live(now) {
+		out = append(out, newMember(n))
+	}
+	for _, s := range m.seeds {
+		if !slices.ContainsFunc(out, func(x member) bool { return x.Address == s }) {
+			n, ok := m.known[s]
+			if !ok {
+				n = Note{Address: s, Strength: unknownStrength}
+			}
+			out = append(out, newMember(n))
 		}
-		m.joined = true
 	}
+	slices.SortFunc(out, member.compare)
+	return out
 }
 
-// live drops the members that have gone silent and returns the others.
-func (m *members) live(now time.Time) []*member {
-	m.list = slices.DeleteFunc(m.list, func(x *member) bool {
-		return x.Address != m.self && !x.seed && now.Sub(x.heard) > memberFor
-	})
-	return m.list
+// hashOf names a set of hosts.
+func hashOf(list []Note) uint64 {
+	var sum uint64
+	for _, n := range list {
+		sum += xxhash.Sum64String(n.Address) * 0x9e3779b97f4a7c15
+	}
+	return sum
 }
 
-func (m *members) isLive(now time.Time, x *member) bool {
-	return x.Address == m.self || now.Sub(x.heard) <= memberFor
+// polled notes that a host has asked for news, and whom it knows below it.
+func (m *members) polled(now time.Time, p *Poll) {
+	t := m.below[p.From.Address]
+	if t == nil {
+		t = &told{list: []Note{p.From}}
+		m.below[p.From.Address] = t
+	}
+	t.heard = now
+	if len(p.Below) > 0 {
+		t.list = p.Below
+	}
+	m.remember([]Note{p.From})
+	delete(m.avoid, p.From.Address)
 }
 
-// notes names the members that have been heard of.
-func (m *members) notes(now time.Time) []Note {
-	var out []Note
-	for _, x := range m.live(now) {
-		n := Note{Address: x.Address, DataCentre: x.DataCentre}
-		if x.Address != m.self {
-			if now.Sub(x.heard) > memberFor {
-				continue
-			}
-			n.AgeMs = now.Sub(x.heard).Milliseconds()
+// remember keeps what is said of the seeds.
+func (m *members) remember(list []Note) {
+	for _, n := range list {
+		if n.DataCentre != "" && slices.Contains(m.seeds, n.Address) {
+			m.known[n.Address] = n
 		}
-		out = append(out, n)
 	}
-	return out
 }
 
-// hash names the set of members.
-func (m *members) hash() uint64 {
-	var sum uint64
-	for _, x := range m.list {
-		sum += x.rank * 0x9e3779b97f4a7c15
+// Heard notes that an upstream has answered.
+func (s *State) Heard(now time.Time, address string, u *Update) {
+	m := &s.members
+	t := m.above[address]
+	if t == nil {
+		t = &told{list: []Note{{Address: address}}}
+		m.above[address] = t
+	}
+	t.heard = now
+	if len(u.Members) > 0 {
+		t.list = u.Members
+		m.joined = true
+		m.remember(u.Members)
 	}
-	return sum
 }
 
-// Upstreams returns the addresses of the hosts to link to: those that come
-// first among the hosts that can be asked, before this one.
+// Unreachable notes that a host did not answer.
+func (s *State) Unreachable(now time.Time, address string) {
+	d := avoidFor
+	if !s.members.joined {
+		d = avoidAtStart
+	}
+	s.members.avoid[address] = now.Add(d)
+}
+
+// SetSeeds takes in other seeds.
+func (s *State) SetSeeds(seeds []string) { s.members.seeds = seeds }
+
+// Upstreams returns the addresses of the hosts to link to, the first of which
+// is asked to send news unasked. Hosts link to the leaders of their data
+// centre, leaders to the watchers; a new host links to seeds.
 func (s *State) Upstreams(now time.Time) []string {
 	m := &s.members
-	self := !m.joined && now.Sub(m.started) < joinWithin
+	order := m.order(now)
+	if !m.joined && now.Sub(m.started) < joinWithin {
+		return m.first(order, watchers, true, func(x member) bool { return slices.Contains(m.seeds, x.Address) })
+	}
+	local := m.first(order, leaders, false, func(x member) bool { return x.DataCentre == m.self.DataCentre })
+	if len(local) == leaders {
+		return local
+	}
+	return m.first(order, watchers, false, func(member) bool { return true })
+}
+
+// first returns up to n hosts that can be asked, among those before this one,
+// or among all.
+func (m *members) first(order []member, n int, all bool, wanted func(member) bool) []string {
 	var out []string
-	for _, x := range m.live(now) {
-		if len(out) == watchers {
+	for _, x := range order {
+		if len(out) == n {
 			break
 		}
-		if x.Address == m.self {
-			if self {
+		if x.Address == m.self.Address {
+			if all {
 				continue
 			}
 			break
 		}
-		if now.Before(x.avoid) {
-			continue
+		if _, avoided := m.avoid[x.Address]; !avoided && wanted(x) {
+			out = append(out, x.Address)
 		}
-		out = append(out, x.Address)
 	}
 	return out
 }
 
-// Unreachable notes that a host did not answer.
-func (s *State) Unreachable(now time.Time, address string) {
-	for _, x := range s.members.list {
-		if x.Address == address {
-			x.avoid = now.Add(avoidFor)
-		}
-	}
-}
-
-// Heard notes that a host has answered a poll.
-func (s *State) Heard(now time.Time, address string) {
-	x := s.members.add(address, "")
-	x.heard = now
-	s.members.joined = true
-}
-
 // rank returns how many hosts that can be asked come before this one.
 func (s *State) rank(now time.Time) int {
-	n := 0
-	for _, x := range s.members.live(now) {
-		if x.Address == s.members.self {
-			break
-		}
-		if !now.Before(x.avoid) {
-			n++
-		}
-	}
-	return n
+	order := s.members.order(now)
+	return len(s.members.first(order, len(order), false, func(member) bool { return true }))
 }
 
 // Hosts returns the hosts that are taken to live, this one included.
 func (s *State) Hosts(now time.Time) []Host {
 	var out []Host
-	for _, x := range s.members.live(now) {
-		if s.members.isLive(now, x) {
-			out = append(out, x.Host)
-		}
+	for _, n := range s.members.live(now) {
+		out = append(out, Host{Address: n.Address, DataCentre: n.DataCentre})
 	}
 	return out
 }
-
-// SetSeeds takes in other seeds.
-func (s *State) SetSeeds(seeds []string) {
-	for _, x := range s.members.list {
-		x.seed = slices.Contains(seeds, x.Address)
-	}
-	for _, seed := range seeds {
-		s.members.add(seed, "").seed = true
-	}
-}
--- a/news/news.go
+++ b/news/news.go
@@ -64,9 +64,13 @@
 	Nonce uint64 `cbor:"2,keyasint"`
 	// Have is the revision that the asking host has.
 	Have int64 `cbor:"3,keyasint"`
-	// Known is the hash of the members that it knows.
+	// Known is the hash of the members that it last got from the other host.
 	Known   uint64  `cbor:"4,keyasint"`
 	Crashes []Crash `cbor:"5,keyasint,omitempty"`
+	// Below are the hosts that ask it, when they have changed.
+	Below []Note `cbor:"6,keyasint,omitempty"`
+	// Push asks for news as they come.
+	Push bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Update answers a Poll; one with nonce 0 was not asked for.
@@ -81,6 +85,8 @@
 	// Members is empty when the asking host knows the same.
 	Members []Note  `cbor:"6,keyasint,omitempty"`
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	// Below is the hash of the hosts that the other one said ask it.
+	Below uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Note names a host to others.
@@ -88,8 +94,8 @@
 	// Address is the host's IP address.
 	Address    string `cbor:"1,keyasint"`
 	DataCentre string `cbor:"2,keyasint,omitempty"`
-	// AgeMs is how long ago the host was heard of.
-	AgeMs int64 `cbor:"3,keyasint,omitempty"`
+	// Strength orders hosts: the strongest pass on news to the others.
+	Strength int `cbor:"3,keyasint,omitempty"`
 }
 
 // Crash reports that a request ran on a backend server which then was gone.
--- a/news/reading.go
+++ b/news/reading.go
@@ -35,29 +35,32 @@
 
 // NextRead returns what to ask the store now.
 func (s *State) NextRead(now time.Time) Read {
-	if !s.reads(now) {
-		return ReadNothing
+	reads, rank, silence := s.reads(now)
+	if reads != s.reading {
+		s.reading = reads
+		s.opts.Log("reading the store", "reads", reads, "rank", rank, "hosts", len(s.members.live(now)), "silence_ms", silence.Milliseconds())
 	}
-	if s.revision == 0 {
+	switch {
+	case !reads:
+		return ReadNothing
+	case s.revision == 0:
 		return ReadRange
 	}
 	return ReadWatch
 }
 
 // reads reports whether this host reads the store: the first hosts do, and
-// those that have heard nothing from them in time.
-func (s *State) reads(now time.Time) bool {
+// those that have heard nothing from them in time. It returns what decided it.
+func (s *State) reads(now time.Time) (reads bool, rank int, silence time.Duration) {
 	if !s.members.joined && now.Sub(s.members.started) < joinWithin {
-		return false
-	}
-	rank := s.rank(now)
-	if rank < watchers {
-		return true
+		return false, 0, 0
 	}
-	silence := s.opts.ApplyWithin/silencePart + time.Duration(min(rank, spreadRanks))*s.opts.ApplyWithin/spreadPart
+	rank = s.rank(now)
 	heard := s.relayed
 	if heard.IsZero() {
 		heard = s.started
 	}
-	return now.Sub(heard) > silence
+	silence = now.Sub(heard)
+	most := s.opts.ApplyWithin/silencePart + time.Duration(min(rank, spreadRanks))*s.opts.ApplyWithin/spreadPart
+	return rank < watchers || silence > most, rank, silence
 }
--- a/news/state.go
+++ b/news/state.go
@@ -13,6 +13,8 @@
 	// Address and DataCentre are this host's own.
 	Address    string
 	DataCentre string
+	// Strength is higher for hosts that had better pass on news to many.
+	Strength int
 	// Seeds are the addresses of some hosts, which may be down.
 	Seeds   []string
 	Decoder Decoder
@@ -47,6 +49,7 @@
 
 	picture *route.Picture
 	dirty   bool
+	reading bool
 }
 
 // entry is a published entry with what it says.
@@ -80,7 +83,7 @@
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
 		crashes: make(map[Crash]time.Time),
 	}
-	s.members.init(now, opts)
+	s.members = newMembers(now, opts)
 	return s
 }
 
@@ -113,12 +116,14 @@
 // TakeUpdate takes in what another host said; asked is when the poll that it
 // answers was sent, or zero.
 func (s *State) TakeUpdate(now, asked time.Time, u *Update) {
-	if u.AgeMs >= 0 && !asked.IsZero() && u.Revision >= s.revision {
+	if u.AgeMs >= 0 && !asked.IsZero() {
 		at := asked.Add(-time.Duration(u.AgeMs) * time.Millisecond)
 		if at.After(s.relayed) {
 			s.relayed = at
 		}
-		s.confirm(now, at)
+		if u.Revision >= s.revision {
+			s.confirm(now, at)
+		}
 	}
 	switch {
 	case u.Full && u.Revision > s.revision:
@@ -126,7 +131,6 @@
 	case !u.Full && s.revision > 0:
 		s.delta(now, u.Items, u.Revision)
 	}
-	s.members.heard(now, u.Members)
 	s.takeCrashes(now, u.Crashes)
 }
 
@@ -280,12 +284,13 @@
 
 // Answer returns what a poll calls for.
 func (s *State) Answer(now time.Time, p *Poll) *Update {
-	s.members.polled(now, p.From)
+	s.members.polled(now, p)
 	s.takeCrashes(now, p.Crashes)
 	u := s.News(now, p.Have)
 	u.Nonce = p.Nonce
-	if p.Known != s.members.hash() {
-		u.Members = s.members.notes(now)
+	u.Below = hashOf(s.members.below[p.From.Address].list)
+	if live := s.members.live(now); hashOf(live) != p.Known {
+		u.Members = live
 	}
 	return u
 }
@@ -305,10 +310,15 @@
 	return u
 }
 
-// Poll returns what to ask another host.
-func (s *State) Poll(now time.Time, nonce uint64) *Poll {
-	return &Poll{
-		From: Note{Address: s.opts.Address, DataCentre: s.opts.DataCentre}, Nonce: nonce, Have: s.revision,
-		Known: s.members.hash(), Crashes: s.crashNotes(now),
+// Poll returns what to ask another host; last is its last answer, or nil.
+func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashNotes(now), Push: push}
+	if t := s.members.above[address]; t != nil {
+		p.Known = hashOf(t.list)
+	}
+	s.members.lapse(now)
+	if below := s.members.subtree(); last == nil || last.Below != hashOf(below) {
+		p.Below = below
 	}
+	return p
 }
