--- a/forward/part.go
+++ b/forward/part.go
@@ -151,7 +151,7 @@
 			p.lose(now, reply.Detail)
 			return
 		}
-		if !free && !p.run.engine.opts.Balancer.SpendRetry(p.service.name) {
+		if !free && !p.run.engine.opts.Balancer.SpendRetry(now, p.service.name) {
 			p.run.note("%s: the retry budget is spent", p.service.name)
 			p.lose(now, reply.Detail)
 			return
@@ -188,11 +188,11 @@
 		return
 	}
 	p.spareAt = now.Add(spareAgain)
-	if p.service.waiting() > 0 || p.run.engine.opts.Balancer.RetryLeft(p.service.name) < 1 {
+	if p.service.waiting() > 0 || p.run.engine.opts.Balancer.RetryLeft(now, p.service.name) < 1 {
 		return
 	}
 	target, _ := p.choose(now, true)
-	if target == nil || !p.run.engine.opts.Balancer.SpendRetry(p.service.name) {
+	if target == nil || !p.run.engine.opts.Balancer.SpendRetry(now, p.service.name) {
 		return
 	}
 	p.run.note("%s: also at %s after %v", p.service.name, target.ID, now.Sub(p.calls[0].record.Sent).Round(time.Millisecond))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,7 @@
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	balancer := policy.NewBalancer(g.started, policy.BalancerOptions{
 		Address: s.Address, DataCentre: s.DataCentre, Regions: s.Regions, Rand: random,
-		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack,
+		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	})
 	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random})
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.counts)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -31,6 +31,9 @@
 	hostsFor = 20 * time.Second
 	// budgetShare is the part of the retry budget that is used.
 	budgetShare = 0.9
+	// burstShare of the budget's number may be spent at once; the rest comes
+	// evenly over the window.
+	burstShare = 0.4
 )
 
 // BalancerOptions configure a Balancer.
@@ -44,8 +47,9 @@
 	// RetryRatio and RetrySlack bound the calls beyond the first of each
 	// request that a service gets from all hosts in the window of the budget:
 	// a part of the requests, and a number.
-	RetryRatio float64
-	RetrySlack float64
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
 }
 
 // Balancer chooses backend servers and keeps the sums over all hosts: their
@@ -70,6 +74,8 @@
 	service route.Service
 	list    []*Target
 	retries budget
+	// earned is until when the budget's number has been added to retries.
+	earned time.Time
 }
 
 // NewBalancer returns a Balancer that knows no servers.
@@ -113,7 +119,7 @@
 func (b *Balancer) target(now time.Time, p *route.Picture, s route.Server) *Target {
 	pool := b.pools[s.Service]
 	if pool == nil {
-		pool = &targets{name: s.Service, retries: newBudget(b.burst())}
+		pool = &targets{name: s.Service, retries: newBudget(b.burst()), earned: now}
 		b.pools[s.Service] = pool
 	}
 	if p.Config != nil {
@@ -158,9 +164,19 @@
 	return true
 }
 
-// burst is this host's part of the retry budget's number.
-func (b *Balancer) burst() float64 {
-	return max(budgetShare*b.opts.RetrySlack/float64(b.most), 1)
+// slack is this host's part of the retry budget's number.
+func (b *Balancer) slack() float64 { return budgetShare * b.opts.RetrySlack / float64(b.most) }
+
+// burst is what of the slack may be spent at once.
+func (b *Balancer) burst() float64 { return max(burstShare*b.slack(), 1) }
+
+// earn adds what has come of the slack since the last time.
+func (b *Balancer) earn(now time.Time, pool *targets) {
+	rest := max(b.slack()-b.burst(), 0)
+	if b.opts.RetryWindow > 0 {
+		pool.retries.earn(rest * now.Sub(pool.earned).Seconds() / b.opts.RetryWindow.Seconds())
+	}
+	pool.earned = now
 }
 
 // share sets how many connections this host may hold to each server, and its
@@ -295,17 +311,23 @@
 
 // SpendRetry takes one call beyond the first of a request from the service's
 // budget and reports whether there was one.
-func (b *Balancer) SpendRetry(service string) bool {
+func (b *Balancer) SpendRetry(now time.Time, service string) bool {
 	pool := b.pools[service]
-	return pool != nil && pool.retries.spend()
+	if pool == nil {
+		return false
+	}
+	b.earn(now, pool)
+	return pool.retries.spend()
 }
 
 // RetryLeft returns how many calls the service's budget has left.
-func (b *Balancer) RetryLeft(service string) float64 {
-	if pool := b.pools[service]; pool != nil {
-		return pool.retries.tokens
+func (b *Balancer) RetryLeft(now time.Time, service string) float64 {
+	pool := b.pools[service]
+	if pool == nil {
+		return 0
 	}
-	return 0
+	b.earn(now, pool)
+	return pool.retries.tokens
 }
 
 // Done records how a call has ended.
