--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -25,7 +25,7 @@
 type Platform struct {
 	Headers Headers
 	Decoder news.Decoder
-	Store   news.Store
+	Store   feed.Store
 	// Reload reads the settings anew.
 	Reload func() (Settings, error)
 }
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -14,10 +14,23 @@
 	"github.com/figmast/figmast/route"
 )
 
+// Store reads the metadata store.
+type Store interface {
+	// Range returns every entry and the revision that they hold since at the
+	// latest. A stale range may be seconds old.
+	Range(ctx context.Context, stale bool) ([]news.Item, int64, error)
+	// Watch returns what has changed after a revision, and the revision that
+	// it reaches; it waits that long for a first change. The error is
+	// news.ErrHistoryGone when the store no longer knows.
+	Watch(ctx context.Context, after int64, wait time.Duration) ([]news.Item, int64, error)
+	// Reset drops open connections.
+	Reset()
+}
+
 // Options configure a Feed.
 type Options struct {
 	State *news.State
-	Store news.Store
+	Store Store
 	// Listen is the address for links of other hosts; Port is theirs.
 	Listen string
 	Port   string
--- a/news/news.go
+++ b/news/news.go
@@ -7,9 +7,7 @@
 package news
 
 import (
-	"context"
 	"errors"
-	"time"
 
 	"github.com/figmast/figmast/route"
 )
@@ -42,19 +40,6 @@
 	Server(id string, value []byte) (route.Server, error)
 }
 
-// Store reads the metadata store.
-type Store interface {
-	// Range returns every entry and the revision that they hold since at the
-	// latest. A stale range may be seconds old.
-	Range(ctx context.Context, stale bool) ([]Item, int64, error)
-	// Watch returns what has changed after a revision, and the revision that
-	// it reaches; it waits that long for a first change. The error is
-	// ErrHistoryGone when the store no longer knows.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]Item, int64, error)
-	// Reset drops open connections.
-	Reset()
-}
-
 // ErrHistoryGone says that changes since the revision are no longer known.
 var ErrHistoryGone = errors.New("the store's history does not reach back to the revision")
 
--- a/route/route.go
+++ b/route/route.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"strings"
 	"time"
@@ -109,10 +108,8 @@
 
 // normalHost drops the port and the case of a host name.
 func normalHost(host string) string {
-	if strings.IndexByte(host, ':') >= 0 {
-		if name, _, err := net.SplitHostPort(host); err == nil {
-			host = name
-		}
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
 	}
 	return strings.ToLower(host)
 }
