Requests that can still meet their objective go first in the queue

Cause, found by a test that plays a burst of three times the servers' speed: served in order of arrival, every waiting request reached a server just as its objective passed; 468 of 720 that could be served in time were.

--- a/forward/queue.go
+++ b/forward/queue.go
@@ -42,11 +42,11 @@
 
 func (s *service) waiting() int { return len(s.queue) }
 
-// before reports whether a goes ahead of b: requests that can still meet their
-// objective first, then by priority, then in order of arrival.
+// before reports whether a goes ahead of b: requests that can still be
+// answered within their objective first, then by priority, then in order of arrival.
 func before(now time.Time, a, b *part) int {
 	late := func(p *part) int {
-		if now.After(p.run.objective) {
+		if now.Add(p.run.record.usual()).After(p.run.objective) {
 			return 1
 		}
 		return 0
