News: hosts that come first find each other by seeds; tests in virtual time

Cause, found by the test of 85 hosts: a host that came first among all it knew had no upstream, so that a data centre's hosts could lose sight of the others for good (27 of 85 known). It now asks a seed, and what the seed says is not passed on. The order of hosts is worked out when something has changed.

--- a/news/members.go
+++ b/news/members.go
@@ -69,6 +69,14 @@
 	// known is what was last heard of the seeds, so that their place in the
 	// order holds while there is no link to them.
 	known map[string]Note
+	// peeked is what seeds say to a host that knows of none before it. It is
+	// used to find such a host and not passed on, or hosts that are gone would
+	// go round.
+	peeked map[string]*told
+
+	// cached is the order as of cachedAt; it is nil after a change.
+	cached   []member
+	cachedAt time.Time
 }
 
 func newMembers(now time.Time, opts Options) members {
@@ -76,7 +84,7 @@
 		self:  newMember(Note{Address: opts.Address, DataCentre: opts.DataCentre, Strength: opts.Strength}),
 		seeds: opts.Seeds, started: now, joined: slices.Contains(opts.Seeds, opts.Address),
 		below: make(map[string]*told), above: make(map[string]*told), avoid: make(map[string]time.Time),
-		known: make(map[string]Note),
+		known: make(map[string]Note), peeked: make(map[string]*told),
 	}
 }
 
@@ -86,6 +94,7 @@
 	silent := func(_ string, t *told) bool { return now.Sub(t.heard) > memberFor }
 	maps.DeleteFunc(m.below, silent)
 	maps.DeleteFunc(m.above, silent)
+	maps.DeleteFunc(m.peeked, silent)
 	maps.DeleteFunc(m.avoid, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
@@ -118,23 +127,39 @@
 	return gather(m.self.Note, from)
 }
 
-// order returns the live hosts, and while this one is new the seeds, in the
-// order of the flow of news.
+// orderFor is how long an order is used without looking for silent hosts.
+const orderFor = 100 * time.Millisecond
+
+// order returns the live hosts and the seeds in the order of the flow of news.
 func (m *members) order(now time.Time) []member {
+	if m.cached != nil && now.Sub(m.cachedAt) < orderFor {
+		return m.cached
+	}
 	var out []member
+	add := func(n Note) {
+		if !slices.ContainsFunc(out, func(x member) bool { return x.Address == n.Address }) {
+			out = append(out, newMember(n))
+		}
+	}
 	for _, n := range m.live(now) {
-		out = append(out, newMember(n))
+		add(n)
 	}
-	for _, s := range m.seeds {
-		if !slices.ContainsFunc(out, func(x member) bool { return x.Address == s }) {
-			n, ok := m.known[s]
-			if !ok {
-				n = Note{Address: s, Strength: unknownStrength}
+	for _, t := range m.peeked {
+		for _, n := range t.list {
+			if newMember(n).compare(m.self) < 0 {
+				add(n)
 			}
-			out = append(out, newMember(n))
 		}
 	}
+	for _, s := range m.seeds {
+		n, ok := m.known[s]
+		if !ok {
+			n = Note{Address: s, Strength: unknownStrength}
+		}
+		add(n)
+	}
 	slices.SortFunc(out, member.compare)
+	m.cached, m.cachedAt = out, now
 	return out
 }
 
@@ -151,11 +176,13 @@
 func (m *members) polled(now time.Time, p *Poll) {
 	t := m.below[p.From.Address]
 	if t == nil {
+		m.cached = nil
 		t = &told{list: []Note{p.From}}
 		m.below[p.From.Address] = t
 	}
 	t.heard = now
 	if len(p.Below) > 0 {
+		m.cached = nil
 		t.list = p.Below
 	}
 	m.remember([]Note{p.From})
@@ -174,13 +201,19 @@
 // Heard notes that an upstream has answered.
 func (s *State) Heard(now time.Time, address string, u *Update) {
 	m := &s.members
-	t := m.above[address]
+	from := m.above
+	if m.later(now, address) {
+		from = m.peeked
+	}
+	t := from[address]
 	if t == nil {
+		m.cached = nil
 		t = &told{list: []Note{{Address: address}}}
-		m.above[address] = t
+		from[address] = t
 	}
 	t.heard = now
 	if len(u.Members) > 0 {
+		m.cached = nil
 		t.list = u.Members
 		m.joined = true
 		m.remember(u.Members)
@@ -194,10 +227,14 @@
 		d = avoidAtStart
 	}
 	s.members.avoid[address] = now.Add(d)
+	s.members.cached = nil
 }
 
 // SetSeeds takes in other seeds.
-func (s *State) SetSeeds(seeds []string) { s.members.seeds = seeds }
+func (s *State) SetSeeds(seeds []string) {
+	s.members.seeds = seeds
+	s.members.cached = nil
+}
 
 // Upstreams returns the addresses of the hosts to link to, the first of which
 // is asked to send news unasked. Hosts link to the leaders of their data
@@ -212,7 +249,24 @@
 	if len(local) == leaders {
 		return local
 	}
-	return m.first(order, watchers, false, func(member) bool { return true })
+	if all := m.first(order, watchers, false, func(member) bool { return true }); len(all) > 0 {
+		return all
+	}
+	// None is known to come before this host: a seed may know better.
+	return m.first(order, 1, true, func(x member) bool { return slices.Contains(m.seeds, x.Address) })
+}
+
+// later reports whether a host comes after this one in the order.
+func (m *members) later(now time.Time, address string) bool {
+	for _, x := range m.order(now) {
+		switch x.Address {
+		case address:
+			return false
+		case m.self.Address:
+			return m.joined
+		}
+	}
+	return false
 }
 
 // first returns up to n hosts that can be asked, among those before this one,
--- a/news/state.go
+++ b/news/state.go
@@ -313,11 +313,19 @@
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
 	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashNotes(now), Push: push}
-	if t := s.members.above[address]; t != nil {
+	m := &s.members
+	m.lapse(now)
+	if m.later(now, address) {
+		if t := m.peeked[address]; t != nil {
+			p.Known = hashOf(t.list)
+		}
+		p.Below = []Note{m.self.Note}
+		return p
+	}
+	if t := m.above[address]; t != nil {
 		p.Known = hashOf(t.list)
 	}
-	s.members.lapse(now)
-	if below := s.members.subtree(); last == nil || last.Below != hashOf(below) {
+	if below := m.subtree(); last == nil || last.Below != hashOf(below) {
 		p.Below = below
 	}
 	return p
--- /dev/null
+++ b/news/state_test.go
@@ -0,0 +1,360 @@
+package news
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/route"
+)
+
+// plain decodes entries of the tests: configurations are a version, servers a
+// start time.
+type plain struct{}
+
+func (plain) Classify(key string) (Kind, string) {
+	switch {
+	case key == "config":
+		return KindConfig, ""
+	case strings.HasPrefix(key, "out/"):
+		return KindEvacuation, key[4:]
+	case strings.HasPrefix(key, "server/"):
+		return KindServer, key[7:]
+	}
+	return KindOther, ""
+}
+
+func (plain) Config(b []byte) (*route.Config, error) {
+	v, err := strconv.ParseInt(string(b), 10, 64)
+	return &route.Config{Version: v}, err
+}
+
+func (plain) Server(id string, b []byte) (route.Server, error) {
+	s := route.Server{ID: id, Service: "s"}
+	err := json.Unmarshal(b, &s.Born)
+	return s, err
+}
+
+// testStore is the store of the tests, with its reads counted.
+type testStore struct {
+	items    map[string]Item
+	revision int64
+	reads    int
+	down     func(host string) bool
+}
+
+func newTestStore() *testStore {
+	return &testStore{items: make(map[string]Item), down: func(string) bool { return false }}
+}
+
+func (s *testStore) put(key, value string) {
+	s.revision++
+	s.items[key] = Item{Key: key, Value: []byte(value), Revision: s.revision}
+}
+
+func (s *testStore) remove(key string) {
+	s.revision++
+	s.items[key] = Item{Key: key, Revision: s.revision, Deleted: true}
+}
+
+func (s *testStore) since(after int64) []Item {
+	var out []Item
+	for _, it := range s.items {
+		if it.Revision > after {
+			out = append(out, it)
+		}
+	}
+	return out
+}
+
+// fleet runs the States of many hosts in virtual time over links that take a
+// step.
+type fleet struct {
+	t     *testing.T
+	now   time.Time
+	store *testStore
+	hosts map[string]*testHost
+	seeds []string
+	// cut tells whether two hosts cannot reach each other.
+	cut func(a, b string) bool
+	// used is the highest version that each host has gone by.
+	used map[string]int64
+}
+
+type testHost struct {
+	state   *State
+	address string
+	last    map[string]*Update
+	polled  map[string]time.Time
+	watch   time.Time
+	after   int64
+	pause   time.Time
+}
+
+const (
+	testStep  = 20 * time.Millisecond
+	testApply = 3 * time.Second
+)
+
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(1000, 0), store: newTestStore(), hosts: make(map[string]*testHost),
+		cut: func(string, string) bool { return false }, used: make(map[string]int64),
+	}
+	f.store.put("config", "1")
+	for i := range n {
+		address := fmt.Sprintf("10.%d.0.%d", i%3, i)
+		if i < 3 {
+			f.seeds = append(f.seeds, address)
+		}
+		f.hosts[address] = nil
+	}
+	for address := range f.hosts {
+		f.startHost(address)
+	}
+	return f
+}
+
+func (f *fleet) startHost(address string) {
+	h := &testHost{address: address, last: make(map[string]*Update), polled: make(map[string]time.Time)}
+	h.state = NewState(f.now, Options{
+		Address: address, DataCentre: address[:4], Seeds: f.seeds, Decoder: plain{}, ApplyWithin: testApply,
+		Strength: int(address[len(address)-1] % 2),
+	})
+	f.hosts[address] = h
+	delete(f.used, address)
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testStep) {
+		for _, h := range f.hosts {
+			if h != nil {
+				f.step(h)
+			}
+		}
+	}
+}
+
+func (f *fleet) step(h *testHost) {
+	f.read(h)
+	for i, up := range h.state.Upstreams(f.now) {
+		if f.now.Sub(h.polled[up]) < h.state.PollEvery() && !f.pushes(h, up, i) {
+			continue
+		}
+		h.polled[up] = f.now
+		other := f.hosts[up]
+		if other == nil || f.cut(h.address, up) {
+			h.state.Unreachable(f.now, up)
+			continue
+		}
+		p := h.state.Poll(f.now, 1, up, h.last[up], i == 0)
+		u := other.state.Answer(f.now, p)
+		h.last[up] = u
+		h.state.Heard(f.now, up, u)
+		h.state.TakeUpdate(f.now, f.now, u)
+	}
+	if p, _ := h.state.Picture(f.now); p != nil && p.Config != nil {
+		if p.Config.Version < f.used[h.address] {
+			f.t.Fatalf("%s went back from version %d to %d", h.address, f.used[h.address], p.Config.Version)
+		}
+		f.used[h.address] = p.Config.Version
+	}
+}
+
+// pushes reports whether the first upstream has news that it sends unasked.
+func (f *fleet) pushes(h *testHost, up string, i int) bool {
+	other := f.hosts[up]
+	return i == 0 && other != nil && !f.cut(h.address, up) && other.state.Revision() > h.state.Revision()
+}
+
+// read plays the reads of the store, one at a time.
+func (f *fleet) read(h *testHost) {
+	if f.now.Before(h.pause) {
+		return
+	}
+	if !h.watch.IsZero() {
+		f.watching(h)
+		return
+	}
+	switch h.state.NextRead(f.now) {
+	case ReadRange:
+		f.store.reads++
+		if f.store.down(h.address) {
+			h.pause = f.now.Add(time.Second)
+			return
+		}
+		h.state.TakeRange(f.now, f.now, f.store.since(0), f.store.revision, false)
+	case ReadWatch:
+		f.store.reads++
+		h.watch, h.after = f.now.Add(h.state.WatchWait()), h.state.Revision()
+	case ReadNothing:
+	}
+}
+
+func (f *fleet) watching(h *testHost) {
+	down := f.store.down(h.address)
+	items := f.store.since(h.after)
+	if f.now.Before(h.watch) && (down || len(items) == 0) {
+		return
+	}
+	h.watch = time.Time{}
+	if down {
+		h.pause = f.now.Add(time.Second)
+		return
+	}
+	h.state.TakeWatch(f.now, items, f.store.revision)
+	if len(items) > 0 {
+		h.pause = f.now.Add(250 * time.Millisecond)
+	}
+}
+
+// wantVersion fails unless every host that can reach the store goes by it.
+func (f *fleet) wantVersion(v int64) {
+	f.t.Helper()
+	for address, h := range f.hosts {
+		if h != nil && !f.store.down(address) && f.used[address] != v {
+			f.t.Errorf("%s goes by version %d, not %d", address, f.used[address], v)
+		}
+	}
+}
+
+// TestFewHostsRead: on a calm day two hosts read the store for all.
+func TestFewHostsRead(t *testing.T) {
+	for _, n := range []int{1, 9, 85} {
+		t.Run(strconv.Itoa(n), func(t *testing.T) {
+			f := newFleet(t, n)
+			f.run(4 * time.Second)
+			f.wantVersion(1)
+			before := f.store.reads
+			f.run(30 * time.Second)
+			reads := f.store.reads - before
+			if most := watchers * 30 * watchPart / 3 * 11 / 10; reads > most {
+				t.Errorf("%d reads in 30 s, more than %d", reads, most)
+			}
+			f.store.put("config", "2")
+			f.run(time.Second)
+			f.wantVersion(2)
+			for address, h := range f.hosts {
+				if got := len(h.state.Hosts(f.now)); got != n {
+					t.Errorf("%s knows %d hosts, not %d", address, got, n)
+				}
+			}
+		})
+	}
+}
+
+// TestChangesReachEveryHostInTime plays cuts between hosts, cuts from the
+// store, and kills, at random, and holds every host that can reach the store
+// to the bound.
+func TestChangesReachEveryHostInTime(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 0))
+			f := newFleet(t, 12)
+			f.run(4 * time.Second)
+			version := int64(1)
+			for range 12 {
+				lost := make(map[string]bool)
+				away := make(map[string]bool)
+				for address := range f.hosts {
+					lost[address] = random.IntN(4) == 0
+					away[address] = random.IntN(4) == 0
+					if random.IntN(6) == 0 {
+						f.startHost(address)
+					}
+				}
+				f.cut = func(a, b string) bool { return lost[a] != lost[b] }
+				f.store.down = func(a string) bool { return away[a] }
+				f.run(time.Duration(random.IntN(3000)) * time.Millisecond)
+				// Hosts must have reached the store for a while before the
+				// bound holds.
+				f.run(2 * time.Second)
+				version++
+				f.store.put("config", strconv.FormatInt(version, 10))
+				f.run(testApply)
+				f.wantVersion(version)
+			}
+		})
+	}
+}
+
+// TestServersThatLapsedWithTheStore are kept until they can register again.
+func TestServersThatLapsedWithTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	for _, id := range []string{"x", "y"} {
+		f.store.put("server/"+id, "5")
+	}
+	f.run(4 * time.Second)
+	count := func() int {
+		p, _ := f.hosts[f.seeds[0]].state.Picture(f.now)
+		return len(p.Servers)
+	}
+	is.Equal(count(), 2)
+	f.store.down = func(string) bool { return true }
+	f.run(5 * time.Second)
+	f.store.remove("server/x")
+	f.store.remove("server/y")
+	f.store.down = func(string) bool { return false }
+	f.run(1500 * time.Millisecond)
+	is.Equal(count(), 2)
+	f.store.put("server/y", "5")
+	f.run(4 * time.Second)
+	is.Equal(count(), 1) // x has not come back
+	f.store.remove("server/y")
+	f.run(time.Second)
+	is.Equal(count(), 0) // the store was there: gone at once
+}
+
+func TestEntries(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewState(now, Options{Address: "10.0.0.1", Decoder: plain{}, ApplyWithin: testApply})
+	s.TakeRange(now, now, []Item{
+		{Key: "config", Value: []byte("7"), Revision: 3}, {Key: "server/x", Value: []byte("5"), Revision: 4},
+		{Key: "server/bad", Value: []byte(`"no"`), Revision: 5}, {Key: "out/b", Value: []byte("{}"), Revision: 6},
+	}, 6, false)
+	p, changed := s.Picture(now)
+	is.True(changed)
+	is.Equal(p.Config.Version, int64(7))
+	is.Equal(len(p.Servers), 1) // a broken entry names no server, the others hold
+	is.True(p.Evacuated["b"])
+
+	s.TakeWatch(now, []Item{
+		{Key: "config", Value: []byte("6"), Revision: 7},   // older than what is in force
+		{Key: "server/x", Value: []byte("4"), Revision: 8}, // from an earlier lifetime
+		{Key: "out/b", Revision: 9, Deleted: true},
+	}, 9)
+	p, _ = s.Picture(now)
+	is.Equal(p.Config.Version, int64(7))
+	is.Equal(len(p.Servers), 0)
+	is.True(!p.Evacuated["b"])
+
+	// A range drops what it does not hold, but nothing newer than itself.
+	s.TakeWatch(now, []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, 12)
+	s.TakeRange(now, now, []Item{{Key: "config", Value: []byte("7"), Revision: 3}}, 20, false)
+	p, _ = s.Picture(now)
+	is.Equal(len(p.Servers), 0)
+}
+
+func TestCrashReportsSpread(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9)
+	f.run(4 * time.Second)
+	i := 0
+	for _, h := range f.hosts {
+		if i++; i <= 3 {
+			h.state.ReportCrash(f.now, 42, fmt.Sprintf("server-%d", i))
+		}
+	}
+	f.run(3 * time.Second) // within the 4 s of the platform's bound
+	for _, h := range f.hosts {
+		is.Equal(h.state.Crashes(f.now)[42], 3)
+	}
+}
