--- /dev/null
+++ b/gateway/door_test.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/internal/clock"
+	"github.com/figmast/figmast/news"
+	"github.com/figmast/figmast/news/feed"
+	"github.com/figmast/figmast/policy"
+	"github.com/figmast/figmast/route"
+)
+
+var testHeaders = Headers{
+	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sign", ExpectServer: "X-Server", NotRun: "X-Not-Run",
+	Signatures: "X-Signs", Missing: "X-Lacks", ReadyPath: "/ready",
+}
+
+// backend is a stand-in for backend servers. It keeps what it got, byte for
+// byte, and answers by the path.
+type backend struct {
+	address string
+	mu      sync.Mutex
+	heads   []string
+	bodies  []string
+	closed  chan struct{}
+}
+
+func newBackend(t *testing.T) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	b := &backend{address: l.Addr().String(), closed: make(chan struct{}, 16)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		head, length, err := readHead(r)
+		if err != nil {
+			b.closed <- struct{}{}
+			return
+		}
+		body := make([]byte, length)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.heads, b.bodies = append(b.heads, head), append(b.bodies, string(body))
+		b.mu.Unlock()
+		target := strings.Fields(head)[1]
+		switch {
+		case strings.Contains(target, "slow"):
+			if _, err := r.Peek(1); err != nil {
+				b.closed <- struct{}{}
+				return
+			}
+		case strings.Contains(target, "busy"):
+			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "ran503"):
+			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "fails"):
+			fmt.Fprintf(c, "HTTP/1.1 500 Oops\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\noops")
+		default:
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 16\r\n\r\n<html>0123456789")
+		}
+	}
+}
+
+func readHead(r *bufio.Reader) (head string, length int, err error) {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return "", 0, err
+		}
+		if line == "\r\n" {
+			return head, length, nil
+		}
+		head += line
+		if v, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+			length, _ = strconv.Atoi(strings.TrimSpace(v))
+		}
+	}
+}
+
+type testDoor struct {
+	*door
+	address string
+	callers *callers
+}
+
+func newTestDoor(t *testing.T, b *backend) *testDoor {
+	now := clock.Now()
+	random := rand.New(rand.NewPCG(1, 2))
+	balancer := policy.NewBalancer(now, policy.BalancerOptions{Address: "127.0.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second})
+	logger, lines := NewLogger(io.Discard, "h")
+	t.Cleanup(lines.Close)
+	counts := newCounters()
+	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random}), counts)
+	r.crashed = func(uint64, string) {}
+	r.begin()
+	t.Cleanup(r.end)
+	d := &testDoor{door: &door{runner: r, headers: testHeaders, log: logger, counts: counts}}
+	c, err := listenCallers("127.0.0.1:0", d.door, logger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.callers, d.address = c, c.listener.Addr().String()
+	t.Cleanup(func() {
+		_ = c.listener.Close()
+		for _, s := range c.all {
+			_ = s.Server.Close()
+		}
+	})
+	if b != nil {
+		d.believe(b)
+	}
+	return d
+}
+
+func (d *testDoor) believe(b *backend) {
+	c := &route.Config{
+		Version: 1, Services: map[string]route.Service{"s": {Name: "s", MaxConnections: 60}},
+		Limits: route.Limits{HeaderBytes: 4096, BodyBytes: 64, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+		Routes: []route.Route{
+			{Name: "one", Host: "h.example", Prefix: "/p/", Service: "s", Attempts: 1, Timeout: 500 * time.Millisecond, Objective: 200 * time.Millisecond},
+			{Name: "all", Host: "h.example", Prefix: "/all/", Gather: []string{"s"}, Repeatable: true, Attempts: 1, Top: 5, LeastShare: 1, Timeout: time.Second, Objective: 200 * time.Millisecond},
+		},
+	}
+	c.Index()
+	d.runner.believe(feed.Belief{
+		Hosts: []news.Host{{Address: "127.0.0.1", DataCentre: "a"}}, Known: true,
+		Picture: &route.Picture{Config: c, Servers: []route.Server{{ID: "i-1", Service: "s", Address: b.address, DataCentre: "a", Slots: 4}}},
+	})
+	d.callers.limit(c.Limits)
+}
+
+// send writes bytes on a new connection and returns the answer.
+func (d *testDoor) send(t *testing.T, text string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+const get = " HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nX-Left: 400\r\n"
+
+func TestPathAndHeadersArePassedOnAsTheyCame(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	resp, body := d.send(t, "GET /p//a/../b%2f%C3%a9?x=1&&y=%41;z"+get+"X-Server: forged\r\nConnection: x-mine\r\nX-Mine: 1\r\nTE: trailers\r\nX-Two: a\r\nX-Two: b\r\n\r\n")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "<html>0123456789")
+	is.Equal(resp.Header.Get("X-Sign"), "s")
+	is.Equal(resp.Header.Get("X-Own"), "1")
+	is.Equal(resp.Header.Get("X-Hop"), "")        // of one connection only
+	is.Equal(resp.Header.Get("Content-Type"), "") // not guessed
+	head := b.heads[0]
+	is.True(strings.HasPrefix(head, "GET /p//a/../b%2f%C3%a9?x=1&&y=%41;z HTTP/1.1\r\nHost: h.example\r\n"))
+	is.True(strings.Contains(head, "\r\nX-Id: r1\r\n"))
+	is.True(strings.Contains(head, "\r\nX-Server: i-1\r\n"))
+	is.Equal(strings.Count(head, "X-Server"), 1)
+	is.Equal(strings.Count(head, "X-Left"), 1)
+	is.Equal(strings.Count(head, "X-Two"), 2)
+	is.True(!strings.Contains(head, "X-Mine") && !strings.Contains(head, "Te:") && !strings.Contains(head, "Connection"))
+	left, err := strconv.Atoi(strings.TrimSpace(strings.SplitN(strings.SplitN(head, "X-Left: ", 2)[1], "\r\n", 2)[0]))
+	is.NoErr(err)
+	is.True(left > 0 && left <= 400)
+}
+
+func TestBodies(t *testing.T) {
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	for name, tt := range map[string]struct {
+		text   string
+		status int
+		body   string
+	}{
+		"with a length": {"POST /p/1" + get + "Content-Length: 5\r\n\r\nhello", 200, "hello"},
+		"empty":         {"POST /p/2" + get + "Content-Length: 0\r\n\r\n", 200, ""},
+		"in chunks":     {"PUT /p/3" + get + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n", 200, "hello"},
+		"too long":      {"POST /p/4" + get + "Content-Length: 65\r\n\r\n" + strings.Repeat("x", 65), 413, ""},
+		"two lengths":   {"POST /p/5" + get + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!", 400, ""},
+		"both framings": {"POST /p/6" + get + "Transfer-Encoding: gzip, chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 501, ""},
+		"folded header": {"GET /p/7" + get + "X-A: b\r\n c\r\n\r\n", 200, ""},
+		"space in name": {"GET /p/8" + get + "X-A : b\r\n\r\n", 400, ""},
+		"bad escape":    {"GET /p/%zz" + get + "\r\n", 400, ""},
+		"long header":   {"GET /p/9" + get + "X-A: " + strings.Repeat("y", 16<<10) + "\r\n\r\n", 431, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			before := len(b.heads)
+			resp, _ := d.send(t, tt.text)
+			is.Equal(resp.StatusCode, tt.status)
+			if tt.status == 200 {
+				is.Equal(b.bodies[before], tt.body)
+				is.True(!strings.Contains(b.heads[before], "\r\n c")) // no line of a header is passed on folded
+				return
+			}
+			is.Equal(len(b.heads), before) // nothing was passed on
+		})
+	}
+}
+
+func TestVerdicts(t *testing.T) {
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	for name, tt := range map[string]struct {
+		text   string
+		status int
+		sign   string
+	}{
+		"no route":           {"GET /q/1" + get + "\r\n", 404, ""},
+		"refused, not run":   {"POST /p/busy" + get + "Content-Length: 0\r\n\r\n", 503, ""},
+		"503 that ran":       {"POST /p/ran503" + get + "Content-Length: 0\r\n\r\n", 502, ""},
+		"failure":            {"POST /p/fails" + get + "Content-Length: 0\r\n\r\n", 500, "s"},
+		"silent":             {"POST /p/slow" + get + "Content-Length: 0\r\n\r\n", 504, ""},
+		"deadline has gone":  {"GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: r\r\nX-Left: 0\r\n\r\n", 503, ""},
+		"absolute target":    {"GET http://h.example/p/1" + get + "\r\n", 200, "s"},
+		"without a deadline": {"GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: r\r\n\r\n", 200, "s"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, _ := d.send(t, tt.text)
+			is.Equal(resp.StatusCode, tt.status)
+			is.Equal(resp.Header.Get("X-Sign"), tt.sign)
+		})
+	}
+	is := is.New(t)
+	resp, body := d.send(t, "GET /all/1"+get+"\r\n")
+	is.Equal(resp.Header.Get("X-Signs"), "s")
+	is.Equal(resp.Header.Get("X-Lacks"), "")
+	is.Equal(body, "<html>0123456789")
+}
+
+func TestWithoutAConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := newTestDoor(t, nil)
+	resp, _ := d.send(t, "GET /q/1"+get+"\r\n")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable) // never 404
+	is.True(resp.Header.Get("Retry-After") != "")
+	d.draining.Store(true)
+	resp, _ = d.send(t, "GET /q/1"+get+"\r\n")
+	is.True(resp.Close)
+}
+
+// TestACallerThatLeaves: its call to a server that may be repeated is given up
+// within half a second.
+func TestACallerThatLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	c, err := net.Dial("tcp", d.address)
+	is.NoErr(err)
+	_, err = io.WriteString(c, "GET /all/slow"+get+"\r\n")
+	is.NoErr(err)
+	time.Sleep(50 * time.Millisecond)
+	is.NoErr(c.Close())
+	select {
+	case <-b.closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the call goes on half a second after its caller left")
+	}
+}
+
+// TestLogLines are dropped, counted, and never block.
+func TestLogLines(t *testing.T) {
+	is := is.New(t)
+	gate := make(chan struct{})
+	q := &LineQueue{lines: make(chan []byte, 2), done: make(chan struct{})}
+	go q.write(writerFunc(func(b []byte) (int, error) { <-gate; return len(b), nil }))
+	for range 10 {
+		_, err := q.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	is.True(q.Dropped() >= 7)
+	close(gate)
+	q.Close()
+
+	var l limiter
+	now := time.Unix(1000, 0)
+	written := 0
+	for range 10 * logBurst {
+		if _, ok := l.admit(now); ok {
+			written++
+		}
+	}
+	is.Equal(written, logBurst)
+	skipped, ok := l.admit(now.Add(time.Second))
+	is.True(ok)
+	is.Equal(skipped, int64(9*logBurst))
+}
+
+type writerFunc func([]byte) (int, error)
+
+func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -85,6 +85,8 @@
 	cut func(a, b string) bool
 	// used is the highest version that each host has gone by.
 	used map[string]int64
+	// order is the order in which hosts take their steps.
+	order []string
 }
 
 type testHost struct {
@@ -102,7 +104,8 @@
 	testApply = 3 * time.Second
 )
 
-func newFleet(t *testing.T, n int) *fleet {
+// newFleet starts hosts that take their steps in an order drawn from the seed.
+func newFleet(t *testing.T, n int, seed uint64) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(1000, 0), store: newTestStore(), hosts: make(map[string]*testHost),
 		cut: func(string, string) bool { return false }, used: make(map[string]int64),
@@ -113,9 +116,10 @@
 		if i < 3 {
 			f.seeds = append(f.seeds, address)
 		}
-		f.hosts[address] = nil
+		f.order = append(f.order, address)
 	}
-	for address := range f.hosts {
+	rand.New(rand.NewPCG(seed, 1)).Shuffle(n, func(i, j int) { f.order[i], f.order[j] = f.order[j], f.order[i] })
+	for _, address := range f.order {
 		f.startHost(address)
 	}
 	return f
@@ -126,6 +130,11 @@
 	h.state = NewState(f.now, Options{
 		Address: address, DataCentre: address[:4], Seeds: f.seeds, Decoder: plain{}, ApplyWithin: testApply,
 		Strength: int(address[len(address)-1] % 2),
+		Log: func(event string, fields ...any) {
+			if event == "reading the store" {
+				f.t.Log(f.now.Sub(time.Unix(1000, 0)), address, fields)
+			}
+		},
 	})
 	f.hosts[address] = h
 	delete(f.used, address)
@@ -133,10 +142,8 @@
 
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(testStep) {
-		for _, h := range f.hosts {
-			if h != nil {
-				f.step(h)
-			}
+		for _, address := range f.order {
+			f.step(f.hosts[address])
 		}
 	}
 }
@@ -226,9 +233,9 @@
 
 // TestFewHostsRead: on a calm day two hosts read the store for all.
 func TestFewHostsRead(t *testing.T) {
-	for _, n := range []int{1, 9, 85} {
-		t.Run(strconv.Itoa(n), func(t *testing.T) {
-			f := newFleet(t, n)
+	for i, n := range []int{1, 9, 9, 85, 85} {
+		t.Run(fmt.Sprintf("%d hosts, order %d", n, i), func(t *testing.T) {
+			f := newFleet(t, n, uint64(i))
 			f.run(4 * time.Second)
 			f.wantVersion(1)
 			before := f.store.reads
@@ -256,13 +263,13 @@
 	for seed := range uint64(12) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 0))
-			f := newFleet(t, 12)
+			f := newFleet(t, 12, seed)
 			f.run(4 * time.Second)
 			version := int64(1)
 			for range 12 {
 				lost := make(map[string]bool)
 				away := make(map[string]bool)
-				for address := range f.hosts {
+				for _, address := range f.order {
 					lost[address] = random.IntN(4) == 0
 					away[address] = random.IntN(4) == 0
 					if random.IntN(6) == 0 {
@@ -287,7 +294,7 @@
 // TestServersThatLapsedWithTheStore are kept until they can register again.
 func TestServersThatLapsedWithTheStore(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 3)
+	f := newFleet(t, 3, 1)
 	for _, id := range []string{"x", "y"} {
 		f.store.put("server/"+id, "5")
 	}
@@ -345,7 +352,7 @@
 
 func TestCrashReportsSpread(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 9)
+	f := newFleet(t, 9, 1)
 	f.run(4 * time.Second)
 	i := 0
 	for _, h := range f.hosts {
