--- a/news/reading.go
+++ b/news/reading.go
@@ -15,8 +15,9 @@
 // Parts of ApplyWithin.
 const (
 	// watchPart is how long a watch waits: its answer confirms that there is
-	// no news.
-	watchPart = 3
+	// no news. That, a poll of a leader and one of a host on the way come to
+	// nine twentieths, which is less than silencePart allows.
+	watchPart = 4
 	// silencePart is after how long without news a host reads for itself, and
 	// spreadPart by how much those that come later wait longer.
 	silencePart = 2
@@ -24,7 +25,7 @@
 	// spreadRanks is how many hosts wait for each other.
 	spreadRanks = 6
 	// pollPart is how often a host asks its upstreams.
-	pollPart = 6
+	pollPart = 10
 )
 
 // WatchWait returns how long a watch of the store waits for a first change.
