The retry budget is counted over its window; hosts tell each other of slow servers

Cause: with 85 hosts a host's part of the budget was a bucket of one token, and what it earned beyond was lost: 82 second calls a shard in ten seconds were sent of 434 allowed, and a tenth of the route sheets missed their objective while servers were slow. The budget is now counted as the rule counts it, over its window.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,11 +107,12 @@
 }
 
 // believe takes in what is published.
-func (g *Gateway) believe(b feed.Belief) {
-	g.runner.believe(b)
+func (g *Gateway) believe(b feed.Belief) []news.Slow {
+	slow := g.runner.believe(b)
 	if b.Picture != nil && b.Picture.Config != nil {
 		g.callers.limit(b.Picture.Config.Limits)
 	}
+	return slow
 }
 
 // Start opens the listeners and begins to read what is published.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/http1"
+	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
@@ -58,8 +59,9 @@
 	return r
 }
 
-// believe puts what is published in force.
-func (r *runner) believe(b feed.Belief) {
+// believe puts what is published in force and returns the slow calls seen since
+// the last time.
+func (r *runner) believe(b feed.Belief) []news.Slow {
 	if b.Known {
 		r.confirmed.Store(r.now().Add(-b.Age).UnixNano())
 	}
@@ -75,17 +77,29 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.balancer.ApplyHosts(now, addresses, local)
+	r.balancer.SetSlow(b.Slow)
 	r.engine.SetCrashes(b.Crashes)
-	if b.Picture == nil {
-		return
+	if b.Picture != nil {
+		r.apply(now, b.Picture)
 	}
-	r.balancer.ApplyPicture(now, b.Picture)
-	live := make(map[http1.Peer]bool, len(b.Picture.Servers))
-	for _, s := range b.Picture.Servers {
+	var slow []news.Slow
+	for _, s := range r.balancer.TakeSlow() {
+		slow = append(slow, news.Slow{
+			Server: s.Server, FirstMs: now.Sub(s.From).Milliseconds(), LastMs: now.Sub(s.To).Milliseconds(),
+		})
+	}
+	return slow
+}
+
+// apply puts a picture in force; the lock is held.
+func (r *runner) apply(now time.Time, p *route.Picture) {
+	r.balancer.ApplyPicture(now, p)
+	live := make(map[http1.Peer]bool, len(p.Servers))
+	for _, s := range p.Servers {
 		live[peerOf(s)] = true
 	}
 	r.live.Store(&live)
-	r.picture.Store(b.Picture)
+	r.picture.Store(p)
 	r.act(r.engine.ServersChanged(now))
 }
 
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -38,8 +38,9 @@
 	Clock func() time.Time
 	// Log is told of dependencies lost and regained.
 	Log func(event string, fields ...any)
-	// Changed gets what is believed from now on. It must not block.
-	Changed func(Belief)
+	// Changed gets what is believed from now on and returns the slow calls
+	// that the host has seen since the last time. It must not block.
+	Changed func(Belief) []news.Slow
 }
 
 // Belief is what the host goes by.
@@ -49,6 +50,8 @@
 	Hosts   []news.Host
 	// Crashes counts the servers that each request has crashed.
 	Crashes map[uint64]int
+	// Slow are the servers that the hosts together find slow.
+	Slow map[string]bool
 	// Age is how long ago the store was known to hold nothing newer; Known is
 	// false while that was never known.
 	Age   time.Duration
@@ -160,12 +163,12 @@
 func (f *Feed) publish(now time.Time) {
 	s := f.opts.State
 	picture, changed := s.Picture(now)
-	b := Belief{Hosts: s.Hosts(now), Crashes: s.Crashes(now)}
+	b := Belief{Hosts: s.Hosts(now), Crashes: s.Crashes(now), Slow: s.SlowServers(now)}
 	b.Age, b.Known = s.Age(now)
 	if changed {
 		b.Picture = picture
 	}
-	f.opts.Changed(b)
+	s.TakeSlow(now, f.opts.Changed(b))
 	f.push(now)
 }
 
--- a/news/news.go
+++ b/news/news.go
@@ -56,6 +56,8 @@
 	Below []Note `cbor:"6,keyasint,omitempty"`
 	// Push asks for news as they come.
 	Push bool `cbor:"7,keyasint,omitempty"`
+	// Slow are calls that servers were slow to answer.
+	Slow []Slow `cbor:"8,keyasint,omitempty"`
 }
 
 // Update answers a Poll; one with nonce 0 was not asked for.
@@ -72,6 +74,7 @@
 	Crashes []Crash `cbor:"7,keyasint,omitempty"`
 	// Below is the hash of the hosts that the other one said ask it.
 	Below uint64 `cbor:"8,keyasint,omitempty"`
+	Slow  []Slow `cbor:"9,keyasint,omitempty"`
 }
 
 // Note names a host to others.
@@ -89,3 +92,11 @@
 	Server      string `cbor:"2,keyasint"`
 	AgeMs       int64  `cbor:"3,keyasint"`
 }
+
+// Slow reports when calls were sent to a server that took long.
+type Slow struct {
+	Server string `cbor:"1,keyasint"`
+	// FirstMs and LastMs are how long ago the first and the last were sent.
+	FirstMs int64 `cbor:"2,keyasint"`
+	LastMs  int64 `cbor:"3,keyasint"`
+}
--- a/news/state.go
+++ b/news/state.go
@@ -46,6 +46,7 @@
 
 	members members
 	crashes map[Crash]time.Time
+	slow    map[string]slowSpan
 
 	picture *route.Picture
 	dirty   bool
@@ -81,7 +82,7 @@
 	}
 	s := &State{
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
-		crashes: make(map[Crash]time.Time),
+		crashes: make(map[Crash]time.Time), slow: make(map[string]slowSpan),
 	}
 	s.members = newMembers(now, opts)
 	return s
@@ -132,6 +133,7 @@
 		s.delta(now, u.Items, u.Revision)
 	}
 	s.takeCrashes(now, u.Crashes)
+	s.TakeSlow(now, u.Slow)
 }
 
 // confirm notes that the store held nothing newer at that time.
@@ -286,6 +288,7 @@
 func (s *State) Answer(now time.Time, p *Poll) *Update {
 	s.members.polled(now, p)
 	s.takeCrashes(now, p.Crashes)
+	s.TakeSlow(now, p.Slow)
 	u := s.News(now, p.Have)
 	u.Nonce = p.Nonce
 	u.Below = hashOf(s.members.below[p.From.Address].list)
@@ -297,7 +300,7 @@
 
 // News returns what has changed after a revision.
 func (s *State) News(now time.Time, have int64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Crashes: s.crashNotes(now)}
+	u := &Update{Revision: s.revision, AgeMs: -1, Crashes: s.crashNotes(now), Slow: s.slowNotes(now)}
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
 	}
@@ -312,7 +315,7 @@
 
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashNotes(now), Push: push}
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashNotes(now), Slow: s.slowNotes(now), Push: push}
 	m := &s.members
 	m.lapse(now)
 	if m.later(now, address) {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -29,11 +29,6 @@
 	// hostsFor is how long hosts that have gone are still counted in sums over
 	// the fleet: the window of the retry budget, twice.
 	hostsFor = 20 * time.Second
-	// budgetShare is the part of the retry budget that is used.
-	budgetShare = 0.9
-	// burstShare of the budget's number may be spent at once; the rest comes
-	// evenly over the window.
-	burstShare = 0.4
 )
 
 // BalancerOptions configure a Balancer.
@@ -66,6 +61,9 @@
 	most   int
 	mostAt time.Time
 	start  time.Time
+
+	slow     map[string]SlowSpan
+	toldSlow map[string]bool
 }
 
 // targets are the backend servers of one service.
@@ -73,16 +71,14 @@
 	name    string
 	service route.Service
 	list    []*Target
-	retries budget
-	// earned is until when the budget's number has been added to retries.
-	earned time.Time
+	retries allowance
 }
 
 // NewBalancer returns a Balancer that knows no servers.
 func NewBalancer(now time.Time, opts BalancerOptions) *Balancer {
 	b := &Balancer{
 		opts: opts, self: xxhash.Sum64String(opts.Address), start: now,
-		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target),
+		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target), slow: make(map[string]SlowSpan),
 	}
 	b.hosts, b.local, b.most = []uint64{b.self}, 1, fewestHosts
 	return b
@@ -119,7 +115,8 @@
 func (b *Balancer) target(now time.Time, p *route.Picture, s route.Server) *Target {
 	pool := b.pools[s.Service]
 	if pool == nil {
-		pool = &targets{name: s.Service, retries: newBudget(b.burst()), earned: now}
+		pool = &targets{name: s.Service}
+		pool.retries.addExtra(now, b.opts.RetryWindow, firstSpent*b.slack())
 		b.pools[s.Service] = pool
 	}
 	if p.Config != nil {
@@ -149,9 +146,6 @@
 		b.hosts = append(b.hosts, xxhash.Sum64String(a))
 	}
 	b.local = max(local, 1)
-	for _, pool := range b.pools {
-		pool.retries.most = b.burst()
-	}
 	b.share(now)
 }
 
@@ -165,19 +159,7 @@
 }
 
 // slack is this host's part of the retry budget's number.
-func (b *Balancer) slack() float64 { return budgetShare * b.opts.RetrySlack / float64(b.most) }
-
-// burst is what of the slack may be spent at once.
-func (b *Balancer) burst() float64 { return max(burstShare*b.slack(), 1) }
-
-// earn adds what has come of the slack since the last time.
-func (b *Balancer) earn(now time.Time, pool *targets) {
-	rest := max(b.slack()-b.burst(), 0)
-	if b.opts.RetryWindow > 0 {
-		pool.retries.earn(rest * now.Sub(pool.earned).Seconds() / b.opts.RetryWindow.Seconds())
-	}
-	pool.earned = now
-}
+func (b *Balancer) slack() float64 { return b.opts.RetrySlack / float64(b.most) }
 
 // share sets how many connections this host may hold to each server, and its
 // part of cold servers' allowances.
@@ -294,6 +276,9 @@
 	if t.overdue(now) {
 		cost *= stuckCost
 	}
+	if b.toldSlow[t.ID] {
+		cost *= toldSlowCost
+	}
 	return cost
 }
 
@@ -304,7 +289,7 @@
 	t.calls = append(t.calls, c)
 	t.allowsCold(now, true)
 	if first {
-		t.pool.retries.earn(budgetShare * b.opts.RetryRatio)
+		t.pool.retries.addFirst(now, b.opts.RetryWindow)
 	}
 	return c
 }
@@ -312,12 +297,11 @@
 // SpendRetry takes one call beyond the first of a request from the service's
 // budget and reports whether there was one.
 func (b *Balancer) SpendRetry(now time.Time, service string) bool {
-	pool := b.pools[service]
-	if pool == nil {
+	if b.RetryLeft(now, service) < 1 {
 		return false
 	}
-	b.earn(now, pool)
-	return pool.retries.spend()
+	b.pools[service].retries.addExtra(now, b.opts.RetryWindow, 1)
+	return true
 }
 
 // RetryLeft returns how many calls the service's budget has left.
@@ -326,8 +310,7 @@
 	if pool == nil {
 		return 0
 	}
-	b.earn(now, pool)
-	return pool.retries.tokens
+	return pool.retries.left(now, b.opts.RetryWindow, b.opts.RetryRatio, b.slack())
 }
 
 // Done records how a call has ended.
@@ -346,9 +329,11 @@
 	case ResultOK:
 		t.health.succeed()
 		t.answered(now, latency, c.Usual)
+		b.noteSlow(c, latency)
 	case ResultCancelled, ResultTimeout:
 		if latency > c.Usual {
 			t.answered(now, latency, c.Usual)
+			b.noteSlow(c, latency)
 		}
 	case ResultShed:
 		t.health.suffer(at, shedWeight)
