--- /dev/null
+++ b/cmd/figmast-soak/main.go
@@ -0,0 +1,63 @@
+// Command figmast-soak runs hosts as processes on loopback under faults drawn
+// from a seed, and checks the promises from outside.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/figmast/figmast/soak"
+)
+
+type options struct {
+	Program string        `arg:"--program" default:"target/figmast-gateway" help:"path of figmast-gateway"`
+	Dir     string        `arg:"--dir" help:"where logs are kept; a new temporary folder if left out"`
+	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds   int           `arg:"--seeds" default:"1" help:"how many seeds to run, one after the other"`
+	For     time.Duration `arg:"--for" default:"20s" help:"how long faults are injected for each seed"`
+	Hosts   int           `arg:"--hosts" default:"6" help:"how many hosts"`
+	Clients int           `arg:"--clients" default:"12" help:"how many clients"`
+	Net     int           `arg:"--net" default:"1" help:"third octet of the hosts' loopback addresses, for runs side by side"`
+}
+
+// Description implements arg.Described.
+func (options) Description() string {
+	return "figmast-soak runs hosts as processes on loopback under faults drawn from a seed."
+}
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "figmast-soak")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		o.Dir = dir
+	}
+	broken := false
+	for seed := o.Seed; seed < o.Seed+uint64(o.Seeds); seed++ {
+		r, err := soak.Run(context.Background(), soak.Options{
+			Program: o.Program, Dir: o.Dir, Seed: seed, For: o.For, Hosts: o.Hosts, Clients: o.Clients, First: o.Net,
+		})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d unanswered, %d promises broken\n",
+			seed, r.Requests, r.Served, r.Refused, r.Failed, r.Unanswered, len(r.Faults))
+		for _, f := range r.Faults[:min(len(r.Faults), 20)] {
+			fmt.Println("  " + f)
+		}
+		broken = broken || len(r.Faults) > 0
+	}
+	if broken {
+		fmt.Println("logs in " + o.Dir)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/soak/host.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/figmast/figmast/platform/standin"
+)
+
+// span is a time in which a host was harmed, and how.
+type span struct {
+	from, to time.Time
+	planned  bool // SIGTERM or SIGHUP only
+}
+
+// host is one process of the program under test.
+type host struct {
+	standin.Host
+	program  string
+	dir      string
+	store    *link
+	mu       sync.Mutex
+	cmd      *exec.Cmd
+	exited   chan struct{}
+	harmed   []span
+	unasked  int
+	expected bool
+	logs     *os.File
+}
+
+const (
+	callersPort, readyPort, controlPort, firstPort, lastPort = 18080, 18081, 18082, 18090, 18091
+	// grace is how long a host may take to stop.
+	grace = 4 * time.Second
+	// apply is the bound on changes of the configuration and of servers.
+	apply = 3 * time.Second
+)
+
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	path := filepath.Join(h.dir, h.Name+".json")
+	if err := os.WriteFile(path, h.Settings(), 0o600); err != nil {
+		return err
+	}
+	if h.logs == nil {
+		f, err := os.Create(filepath.Join(h.dir, h.Name+".log"))
+		if err != nil {
+			return err
+		}
+		h.logs = f
+	}
+	cmd := exec.Command(h.program, "--settings", path)
+	cmd.Stdout, cmd.Stderr = h.logs, h.logs
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	h.cmd, h.exited, h.expected = cmd, exited, false
+	go func() {
+		_ = cmd.Wait()
+		h.mu.Lock()
+		if !h.expected {
+			h.unasked++
+		}
+		h.mu.Unlock()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the host's own process, by its id.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		h.expected = true
+	}
+	_ = h.cmd.Process.Signal(s) // a process that has just ended is no fault
+}
+
+func (h *host) harm(d time.Duration, planned bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	h.harmed = append(h.harmed, span{now, now.Add(d), planned})
+}
+
+// calm reports whether nothing harmed the host, but for planned work if that
+// is let pass, from a while before a time until another.
+func (h *host) calm(from, to time.Time, planned bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.harmed {
+		if s.from.Before(to) && s.to.After(from) && !(planned && s.planned) {
+			return false
+		}
+	}
+	return true
+}
+
+// pause stops the process for a while.
+func (h *host) pause(d time.Duration) {
+	h.harm(d, false)
+	h.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	h.signal(syscall.SIGCONT)
+}
+
+// kill ends the process and starts it again.
+func (h *host) kill(down time.Duration) error {
+	h.harm(down+time.Second, false)
+	h.signal(syscall.SIGKILL)
+	<-h.exited
+	time.Sleep(down)
+	return h.start()
+}
+
+// restart stops the process in order and starts it again.
+func (h *host) restart() error {
+	h.harm(grace+2*time.Second, true)
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-h.exited:
+	case <-time.After(grace):
+		h.harm(time.Second, false)
+		h.signal(syscall.SIGKILL)
+		<-h.exited
+	}
+	return h.start()
+}
+
+func (h *host) end() {
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGTERM)
+	select {
+	case <-h.exited:
+	case <-time.After(grace + 2*time.Second):
+		h.signal(syscall.SIGKILL)
+		<-h.exited
+	}
+	_ = h.logs.Close()
+	h.store.close()
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// link is a loopback proxy that harms the connections through it.
+type link struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	harm  harm
+	until time.Time
+	conns map[net.Conn]bool
+}
+
+// harm is what a link does to its connections.
+type harm int
+
+const (
+	healthy harm = iota
+	// delayed links hold bytes back for a while, silent ones take and lose
+	// them, oneWay ones lose those of answers only.
+	delayed
+	silent
+	oneWay
+	// refused links reset connections, old and new.
+	refused
+	harms
+)
+
+// linkDelay is how long a delayed link holds bytes back: longer than the
+// objective of most requests.
+const linkDelay = 150 * time.Millisecond
+
+func newLink(listen, target string) (*link, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	p := &link{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *link) address() string { return p.listener.Addr().String() }
+
+// set harms the link for a while; connections that are refused end at once.
+func (p *link) set(h harm, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.harm, p.until = h, time.Now().Add(d)
+	if h == refused {
+		for c := range p.conns {
+			reset(c)
+		}
+	}
+}
+
+func (p *link) state() harm {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Now().After(p.until) {
+		return healthy
+	}
+	return p.harm
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *link) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.state() == refused {
+			reset(c)
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *link) serve(c net.Conn) {
+	d, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		reset(c)
+		return
+	}
+	p.track(c, true)
+	p.track(d, true)
+	var done sync.WaitGroup
+	done.Add(2)
+	go func() { defer done.Done(); p.copy(d, c, false) }()
+	go func() { defer done.Done(); p.copy(c, d, true) }()
+	done.Wait()
+	p.track(c, false)
+	p.track(d, false)
+}
+
+func (p *link) track(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = true
+		return
+	}
+	delete(p.conns, c)
+}
+
+// copy carries bytes one way. A connection that lost bytes carries no others.
+func (p *link) copy(to, from net.Conn, answers bool) {
+	b := make([]byte, 16<<10)
+	lost := false
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			switch h := p.state(); {
+			case h == silent, h == oneWay && answers:
+				lost = true
+			case h == delayed:
+				time.Sleep(linkDelay)
+			}
+			if !lost {
+				if _, werr := to.Write(b[:n]); werr != nil {
+					reset(from)
+					return
+				}
+			}
+		}
+		if err != nil {
+			if err == io.EOF && !lost {
+				if tcp, ok := to.(*net.TCPConn); ok {
+					_ = tcp.CloseWrite()
+				}
+				return
+			}
+			reset(to)
+			return
+		}
+	}
+}
+
+func (p *link) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,331 @@
+// Package soak runs the real programs as separate processes on loopback while
+// faults are injected from outside, in series drawn from one seed, and checks
+// the promises from what callers and backend servers have seen.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/figmast/figmast/platform"
+	"github.com/figmast/figmast/platform/standin"
+	"github.com/figmast/figmast/route"
+
+	"github.com/figmast/figmast/gateway"
+)
+
+// Options configure a run.
+type Options struct {
+	// Program is the path of figmast-gateway, Dir where logs are kept.
+	Program string
+	Dir     string
+	Seed    uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// Hosts and Clients are how many run.
+	Hosts, Clients int
+	// First is the first host's last octets' base, so that runs do not meet.
+	First int
+}
+
+// Report is what a run found.
+type Report struct {
+	Requests, Served, Refused, Failed, Unanswered int
+	Faults                                        []string
+}
+
+const (
+	gatherShards = 5
+	leastShare   = 0.6
+	topRecords   = 10
+	perService   = 3
+	// warmUp is how long hosts take to find each other and the entries.
+	warmUp = 3 * time.Second
+	// clientPause is a client's mean pause between requests.
+	clientPause = 15 * time.Millisecond
+)
+
+// services of the run: the gather route's shards, and two for other requests.
+var plainServices = []string{"alpha", "beta"}
+
+// world is everything that a run has started.
+type world struct {
+	opts     Options
+	headers  gateway.Headers
+	random   *rand.Rand
+	store    *standin.Store
+	server   *http.Server
+	hosts    []*host
+	backends []*backend
+	ledger   ledger
+	mu       sync.Mutex
+	drained  map[string]time.Time
+	moves    []move
+	version  int64
+	next     int
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, o Options) (Report, error) {
+	w := &world{
+		opts: o, headers: platform.Headers(), random: rand.New(rand.NewPCG(o.Seed, 1)), store: standin.NewStore(),
+		drained: make(map[string]time.Time),
+	}
+	defer w.end()
+	if err := w.begin(); err != nil {
+		return Report{}, err
+	}
+	c := &clients{hosts: w.hosts, headers: w.headers, pause: clientPause}
+	clientsCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var done sync.WaitGroup
+	done.Add(1)
+	go func() { defer done.Done(); c.run(clientsCtx, o.Clients, o.Seed) }()
+	err := w.trouble(ctx)
+	stop()
+	done.Wait()
+	if err != nil {
+		return Report{}, err
+	}
+	h := &history{results: c.results, runs: make(map[string][]execution), drained: w.drained, moves: w.moves, world: w}
+	w.ledger.mu.Lock()
+	for _, x := range w.ledger.runs {
+		h.runs[x.request] = append(h.runs[x.request], x)
+	}
+	w.ledger.mu.Unlock()
+	return h.report(), nil
+}
+
+func (h *history) report() Report {
+	r := Report{Requests: len(h.results), Faults: h.check()}
+	for _, x := range h.results {
+		switch {
+		case x.status == http.StatusOK:
+			r.Served++
+		case x.status == http.StatusServiceUnavailable:
+			r.Refused++
+		case x.status != 0:
+			r.Failed++
+		default:
+			r.Unanswered++
+		}
+	}
+	return r
+}
+
+func (w *world) begin() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
+	go func() { _ = w.server.Serve(l) }() // it ends with the run
+	for _, service := range append(w.shards(), plainServices...) {
+		for i := range perService {
+			if err := w.addBackend(service, i); err != nil {
+				return err
+			}
+		}
+	}
+	w.configure(plainServices[0])
+	var seeds []string
+	for i := range w.opts.Hosts {
+		address := fmt.Sprintf("127.1.%d.%d", w.opts.First, i+1)
+		if i < 3 {
+			seeds = append(seeds, address)
+		}
+		p, err := newLink("127.0.0.1:0", l.Addr().String())
+		if err != nil {
+			return err
+		}
+		w.hosts = append(w.hosts, &host{program: w.opts.Program, dir: w.opts.Dir, store: p, Host: standin.Host{
+			Name: fmt.Sprintf("host-%d", i+1), Address: address, DataCentre: zone(i), Store: p.address(),
+			Callers: callersPort, Ready: readyPort, Control: controlPort, First: firstPort, Last: lastPort, Grace: grace, Apply: apply,
+		}})
+	}
+	for _, h := range w.hosts {
+		h.Seeds = seeds
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(warmUp)
+	return nil
+}
+
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+func (w *world) shards() []string {
+	var out []string
+	for i := range gatherShards {
+		out = append(out, fmt.Sprintf("shard-%d", i))
+	}
+	return out
+}
+
+// allowed reports whether any configuration lets a kind of request go to a
+// service.
+func (w *world) allowed(kind, service string) bool {
+	switch kind {
+	case kindGather:
+		return len(service) > 6 && service[:6] == "shard-"
+	case kindOnce:
+		return service == plainServices[0]
+	}
+	return service == plainServices[0] || service == plainServices[1]
+}
+
+func (w *world) addBackend(service string, i int) error {
+	w.next++
+	b, err := newBackend(route.Server{
+		ID: fmt.Sprintf("i-%d", w.next), Born: time.Now().UnixMilli(), Service: service, DataCentre: zone(i), Slots: 8,
+	}, w.headers, &w.ledger, w.opts.Seed+uint64(w.next))
+	if err != nil {
+		return err
+	}
+	w.backends = append(w.backends, b)
+	w.store.PutServer(b.entry)
+	return nil
+}
+
+// configure publishes a version in which repeatable requests go to a service.
+func (w *world) configure(service string) {
+	w.version++
+	base := route.Route{Host: hostName, Timeout: 3 * time.Second, Objective: 150 * time.Millisecond, Attempts: 2}
+	once, repeat, gather := base, base, base
+	once.Name, once.Prefix, once.Service = kindOnce, "/"+kindOnce+"/", plainServices[0]
+	repeat.Name, repeat.Prefix, repeat.Service, repeat.Repeatable = kindRepeat, "/"+kindRepeat+"/", service, true
+	gather.Name, gather.Prefix, gather.Gather, gather.Repeatable = kindGather, "/"+kindGather+"/", w.shards(), true
+	gather.Top, gather.LeastShare = topRecords, leastShare
+	c := &route.Config{
+		Version: w.version, Routes: []route.Route{once, repeat, gather}, Services: make(map[string]route.Service),
+		Limits: route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 18, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+	for _, s := range append(w.shards(), plainServices...) {
+		c.Services[s] = route.Service{Name: s, MaxConnections: 200}
+	}
+	w.moves = append(w.moves, move{time.Now(), service})
+	w.store.PutConfig(c)
+}
+
+// trouble injects faults, each of which may overlap with others.
+func (w *world) trouble(ctx context.Context) error {
+	var overlapping sync.WaitGroup
+	defer overlapping.Wait()
+	var mu sync.Mutex
+	var failed error
+	busy := make(map[*host]bool)
+	end := time.Now().Add(w.opts.For)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(time.Duration(100+w.random.IntN(500)) * time.Millisecond)
+		d := time.Duration(200+w.random.IntN(2500)) * time.Millisecond
+		h := w.hosts[w.random.IntN(len(w.hosts))]
+		b := w.backends[w.random.IntN(len(w.backends))]
+		kind := w.random.IntN(10)
+		if kind < 4 {
+			mu.Lock()
+			taken := busy[h]
+			busy[h] = true
+			mu.Unlock()
+			if taken {
+				continue
+			}
+			overlapping.Add(1)
+			go func() {
+				defer overlapping.Done()
+				err := w.harmHost(h, kind, d)
+				mu.Lock()
+				defer mu.Unlock()
+				busy[h] = false
+				failed = errors.Join(failed, err)
+			}()
+			continue
+		}
+		if err := w.harmRest(h, b, kind, d); err != nil {
+			return err
+		}
+	}
+	overlapping.Wait()
+	return failed
+}
+
+func (w *world) harmHost(h *host, kind int, d time.Duration) error {
+	switch kind {
+	case 0:
+		return h.kill(d / 4)
+	case 1:
+		return h.restart()
+	case 2:
+		h.pause(d)
+	case 3:
+		h.harm(0, true)
+		h.signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+func (w *world) harmRest(h *host, b *backend, kind int, d time.Duration) error {
+	form := harm(1 + w.random.IntN(int(harms)-1))
+	switch kind {
+	case 4:
+		h.harm(d, false)
+		h.store.set(form, d)
+	case 5:
+		for _, x := range w.hosts {
+			x.harm(d, false)
+			x.store.set(form, d)
+		}
+	case 6:
+		b.link.set(form, d)
+	case 7:
+		w.configure(plainServices[w.random.IntN(2)])
+	case 8:
+		w.store.Compact()
+	case 9:
+		return w.replace(b)
+	}
+	return nil
+}
+
+// replace starts another server of the service, and has one leave.
+func (w *world) replace(b *backend) error {
+	if b.entry.Draining {
+		return nil
+	}
+	if err := w.addBackend(b.entry.Service, w.random.IntN(3)); err != nil {
+		return err
+	}
+	b.entry.Draining = true
+	w.drained[b.entry.ID] = time.Now()
+	w.store.PutServer(b.entry)
+	time.AfterFunc(apply+2*time.Second, func() {
+		w.store.RemoveServer(b.entry.ID)
+		b.close()
+	})
+	return nil
+}
+
+func (w *world) end() {
+	var done sync.WaitGroup
+	for _, h := range w.hosts {
+		if h.cmd == nil {
+			continue
+		}
+		done.Add(1)
+		go func() { defer done.Done(); h.end() }()
+	}
+	done.Wait()
+	for _, b := range w.backends {
+		b.close()
+	}
+	if w.server != nil {
+		_ = w.server.Close()
+	}
+}
