--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -179,7 +179,7 @@
 	defer r.done.Done()
 	began := r.now()
 	answer, state, err := r.pool.Do(ctx, http1.Call{
-		Peer: peerOf(s.Target.Server), Method: q.method, ID: q.id, Deadline: s.Deadline, Careful: s.Careful,
+		Peer: peerOf(s.Target.Server), Method: q.method, ID: q.id, Deadline: s.Deadline, Careful: s.Careful, KeepIdle: s.Target.KeepIdle(),
 		Bytes: func(left time.Duration) []byte { return q.bytes(r.headers, s.Target.ID, left) },
 	})
 	reply := r.reply(answer, state, err)
--- a/http1/call.go
+++ b/http1/call.go
@@ -33,6 +33,8 @@
 	Bytes  func(left time.Duration) []byte
 	// Deadline is when the server is no longer waited for.
 	Deadline time.Time
+	// KeepIdle is how long the connection is kept afterwards, at most.
+	KeepIdle time.Duration
 	// Careful calls take no connection that the server may be closing.
 	Careful bool
 	// Guard is asked right before the first byte is written, if it is set.
@@ -83,7 +85,7 @@
 		return answer, Done, nil
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.limit = idleLimit(answer.Header, idleFor)
+	c.limit = min(idleLimit(answer.Header, idleFor), call.KeepIdle)
 	p.put(c)
 	return answer, Done, nil
 }
--- a/http1/call_test.go
+++ b/http1/call_test.go
@@ -63,7 +63,7 @@
 
 func do(p *Pool, peer Peer, id string) (*Answer, State, error) {
 	return p.Do(context.Background(), Call{
-		Peer: peer, Method: http.MethodGet, ID: id, Deadline: time.Now().Add(300 * time.Millisecond),
+		Peer: peer, Method: http.MethodGet, ID: id, Deadline: time.Now().Add(300 * time.Millisecond), KeepIdle: time.Minute,
 		Bytes: func(time.Duration) []byte {
 			return fmt.Appendf(nil, "GET / HTTP/1.1\r\nHost: x\r\nX-Id: %s\r\n\r\n", id)
 		},
--- a/policy/target.go
+++ b/policy/target.go
@@ -74,6 +74,23 @@
 	return t
 }
 
+const (
+	// localIdle and awayIdle are how long an unused connection is kept to a
+	// server of the host's own data centre and to another one. A server counts
+	// the connections of hosts that lost power for many seconds; with few
+	// idle ones there is room for the hosts that come back.
+	localIdle = 10 * time.Second
+	awayIdle  = 1500 * time.Millisecond
+)
+
+// KeepIdle returns how long an unused connection to the target is kept.
+func (t *Target) KeepIdle() time.Duration {
+	if t.local {
+		return localIdle
+	}
+	return awayIdle
+}
+
 // overdue reports whether a call has taken so long that the server seems to be
 // stuck.
 func (t *Target) overdue(now time.Time) bool {
