--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -22,6 +22,9 @@
 	// localShare is the part of the connections for hosts of the server's own
 	// data centre where there are too few for all.
 	localShare = 0.65
+	// otherCost is what a server away costs beside the one that this host
+	// prefers, where connections are scarce.
+	otherCost = 1.3
 	// mostConnections bounds the calls in flight of one host to one server.
 	mostConnections = 16
 	// fewestHosts is what a host goes by that knows of fewer.
@@ -169,6 +172,27 @@
 			t.limit = b.connections(pool, t)
 			t.shareCold(now, b.self, b.hosts)
 		}
+		b.prefer(pool)
+	}
+}
+
+// prefer sets which of the servers away this host goes to where there are too
+// few connections for all hosts: each host keeps to one, the hosts together to
+// all.
+func (b *Balancer) prefer(pool *targets) {
+	var first *Target
+	for _, t := range pool.list {
+		t.other = false
+		if t.local || t.out || t.limit > 1 {
+			continue
+		}
+		t.other = true
+		if first == nil || rendezvous(b.self, t.hash) < rendezvous(b.self, first.hash) {
+			first = t
+		}
+	}
+	if first != nil {
+		first.other = false
 	}
 }
 
@@ -273,6 +297,9 @@
 	if !t.local {
 		cost *= awayFactor
 	}
+	if t.other {
+		cost *= otherCost
+	}
 	if t.overdue(now) {
 		cost *= stuckCost
 	}
--- a/policy/target.go
+++ b/policy/target.go
@@ -42,6 +42,8 @@
 	local bool
 	// out targets get no new calls.
 	out bool
+	// other targets are away and not the one that this host prefers.
+	other bool
 	// limit is how many calls this host may have in flight to it.
 	limit int
 	calls []*Call
