--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -250,7 +250,7 @@
 			}
 			continue
 		}
-		cost := b.cost(now, at, t)
+		cost := b.cost(now, t)
 		switch {
 		case best == nil || cost < least/aboutEqual:
 			best, least, ties = t, cost, 1
@@ -285,7 +285,7 @@
 }
 
 // cost of one more call to a server; the least wins.
-func (b *Balancer) cost(now time.Time, at time.Duration, t *Target) float64 {
+func (b *Balancer) cost(now time.Time, t *Target) float64 {
 	part := float64(t.Slots) / float64(b.local)
 	if !t.local {
 		part = float64(t.Slots) / float64(len(b.hosts))
@@ -293,7 +293,7 @@
 	part = max(part, 1)
 	busy := float64(len(t.calls))
 	cost := t.slowness(now) * (1 + loadCost*busy + max(busy+1-part, 0)/part)
-	cost *= 1 + failureFactor*t.health.recent(at)
+	cost *= 1 + failingCost*t.failures(now)
 	if !t.local {
 		cost *= awayFactor
 	}
@@ -355,6 +355,7 @@
 	switch result {
 	case ResultOK:
 		t.health.succeed()
+		t.ended(now, false)
 		t.answered(now, latency, c.Usual)
 		b.noteSlow(c, latency)
 	case ResultCancelled, ResultTimeout:
@@ -362,13 +363,13 @@
 			t.answered(now, latency, c.Usual)
 			b.noteSlow(c, latency)
 		}
-	case ResultShed:
-		t.health.suffer(at, shedWeight)
+	case ResultShed, ResultBroken:
+		t.ended(now, true)
 	case ResultFailed:
+		t.ended(now, true)
+		// Two failures in a row have it left alone.
 		t.health.fail(at)
 		t.health.fail(at)
-	case ResultBroken:
-		t.health.suffer(at, 1)
 	case ResultNoVerdict:
 	}
 }
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -110,6 +110,30 @@
 	is.Equal(next, s)
 }
 
+// TestAServerThatShedsIsLeft plays servers that refuse six calls of ten while
+// one of the three refuses none: most calls go to that one.
+func TestAServerThatShedsIsLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := testBalancer(now, "10.0.0.0", "a", 9)
+	b.ApplyPicture(now, testPicture(threeServers...))
+	random := rand.New(rand.NewPCG(5, 6))
+	refused := 0
+	const calls = 100
+	for range calls {
+		now = now.Add(600 * time.Millisecond)
+		s, _ := b.Choose(now, Choice{Service: "s", Usual: 10 * time.Millisecond})
+		result := ResultOK
+		if s.ID != "3" && random.Float64() < 0.6 {
+			result = ResultShed
+			refused++
+		}
+		b.Done(now.Add(10*time.Millisecond), b.Begin(now, s, 10*time.Millisecond, true), result)
+	}
+	if refused > calls*3/10 {
+		t.Errorf("%d of %d calls were refused", refused, calls)
+	}
+}
+
 // TestALifetimeIsItsOwnServer: a server that starts again under its ID.
 func TestALifetimeIsItsOwnServer(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/policy/target.go
+++ b/policy/target.go
@@ -23,6 +23,13 @@
 	// fades to 1; it doubles with each slow answer in a row up to mostStreak.
 	factorHalfLife = 500 * time.Millisecond
 	mostStreak     = 3
+	// failingStep is the part of the way that the share of failing calls moves
+	// with each call, failingHalfLife how fast it fades without any: servers
+	// that fail a part of their requests do so for many seconds.
+	failingStep     = 0.35
+	failingHalfLife = 5 * time.Second
+	// failingCost is what a server costs more that fails every call.
+	failingCost = 10
 	// overdueFactor times the usual latency, and at least overdueLeast, mark a
 	// call as overdue: shards pause for a quarter of a second at a time.
 	overdueFactor = 3
@@ -51,7 +58,11 @@
 	factor   float64
 	factorAt time.Time
 	streak   int
-	health   health
+	// failing is the share of recent calls that the server refused or broke
+	// off.
+	failing   float64
+	failingAt time.Time
+	health    health
 
 	coldUntil time.Time
 	cold      budget
@@ -119,6 +130,24 @@
 	return 1 + (t.factor-1)*math.Exp2(-float64(idle)/life)
 }
 
+// failures returns the share of failing calls as it has faded.
+func (t *Target) failures(now time.Time) float64 {
+	idle := now.Sub(t.failingAt)
+	if t.failing == 0 || idle <= 0 {
+		return t.failing
+	}
+	return t.failing * math.Exp2(-float64(idle)/float64(failingHalfLife))
+}
+
+// ended takes in whether a call failed.
+func (t *Target) ended(now time.Time, failed bool) {
+	share, to := t.failures(now), 0.0
+	if failed {
+		to = 1
+	}
+	t.failing, t.failingAt = share+failingStep*(to-share), now
+}
+
 // answered takes in a call's latency against what is usual.
 func (t *Target) answered(now time.Time, latency, usual time.Duration) {
 	if usual <= 0 {
