--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -252,13 +252,6 @@
 	go r.tidy()
 }
 
-// running returns how many requests are in progress.
-func (r *runner) running() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.engine.Running()
-}
-
 // end stops the timers and gives up every call.
 func (r *runner) end() {
 	close(r.stop)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -7,12 +7,10 @@
 
 // Settings of a host.
 type Settings struct {
-	// Host is its name, Address its IP address, DataCentre where it stands and
-	// Region where that lies.
+	// Host is its name, Address its IP address, DataCentre where it stands.
 	Host       string
 	Address    string
 	DataCentre string
-	Region     string
 	// Regions maps each data centre to its region.
 	Regions map[string]string
 
@@ -45,9 +43,6 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// ColdOverage and ColdSlack bound what a cold server gets above its rate.
-	ColdOverage float64
-	ColdSlack   float64
 }
 
 // Headers names the headers that the deployment uses.
--- a/news/state.go
+++ b/news/state.go
@@ -20,6 +20,8 @@
 	Decoder Decoder
 	// ApplyWithin is how late a change may take effect here, at most.
 	ApplyWithin time.Duration
+	// Heartbeat is how often backend servers renew their entries.
+	Heartbeat time.Duration
 	// Log is told what is believed from now on, and why.
 	Log func(event string, fields ...any)
 }
@@ -65,9 +67,9 @@
 }
 
 const (
-	// lapseGap is a silence of the store after which removed servers may only
-	// have failed to renew: about two of the platform's heartbeats of 1.2 s.
-	lapseGap = 2500 * time.Millisecond
+	// lapseBeats is a silence of the store, in heartbeats, after which removed
+	// servers may only have failed to renew: entries lapse after three.
+	lapseBeats = 2
 	// lapseFor is within which servers that live are back after the store's
 	// return; the platform's pages say about two seconds.
 	lapseFor = 2200 * time.Millisecond
@@ -141,7 +143,7 @@
 	if !at.After(s.confirmed) {
 		return
 	}
-	if !s.confirmed.IsZero() && at.Sub(s.confirmed) > lapseGap {
+	if !s.confirmed.IsZero() && at.Sub(s.confirmed) > lapseBeats*s.opts.Heartbeat {
 		s.returned = now
 		s.opts.Log("store heard again", "silent_ms", at.Sub(s.confirmed).Milliseconds())
 	}
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -128,7 +128,7 @@
 func (f *fleet) startHost(address string) {
 	h := &testHost{address: address, last: make(map[string]*Update), polled: make(map[string]time.Time)}
 	h.state = NewState(f.now, Options{
-		Address: address, DataCentre: address[:4], Seeds: f.seeds, Decoder: plain{}, ApplyWithin: testApply,
+		Address: address, DataCentre: address[:4], Seeds: f.seeds, Decoder: plain{}, ApplyWithin: testApply, Heartbeat: 1200 * time.Millisecond,
 		Strength: int(address[len(address)-1] % 2),
 		Log: func(event string, fields ...any) {
 			if event == "reading the store" {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,11 +14,10 @@
 	"syscall"
 	"time"
 
+	"github.com/figmast/figmast/gateway"
 	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/platform/standin"
 	"github.com/figmast/figmast/route"
-
-	"github.com/figmast/figmast/gateway"
 )
 
 // Options configure a run.
@@ -65,7 +64,6 @@
 	hosts    []*host
 	backends []*backend
 	ledger   ledger
-	mu       sync.Mutex
 	drained  map[string]time.Time
 	moves    []move
 	version  int64
