--- a/cmd/figmast/timeline.go
+++ b/cmd/figmast/timeline.go
@@ -122,10 +122,22 @@
 // explainArgs shows what was decided on one request.
 type explainArgs struct {
 	opsArgs
-	Request string `arg:"positional,required" placeholder:"REQUEST-ID" help:"id in the answer, the refusal or the Figmast-Request-Id header"`
+	Log     []string `arg:"--log" placeholder:"FILE" help:"logs of gateways to look in instead of asking hosts; - is standard input"`
+	Request string   `arg:"positional,required" placeholder:"REQUEST-ID" help:"id in the answer, the refusal or the Figmast-Request-Id header"`
+}
+
+// check asks for hosts only where no logs are given.
+func (a *explainArgs) check() error {
+	if len(a.Log) > 0 {
+		return nil
+	}
+	return a.opsArgs.check()
 }
 
 func (a *explainArgs) run(ctx context.Context, out *printer) error {
+	if len(a.Log) > 0 {
+		return explainLogs(a.Log, a.Request, out)
+	}
 	var lists [][]timeline.Event
 	failed := 0
 	for _, r := range askAll[[]timeline.Event](ctx, a.Ops, "/v1/explain/"+a.Request) {
