--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -334,3 +335,19 @@
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(b []byte) (int, error) { return f(b) }
+
+// TestNewsOptions: every setting reaches the state of news. One that did not
+// had every removed server kept.
+func TestNewsOptions(t *testing.T) {
+	o := newsOptions(Settings{
+		Address: "10.0.0.1", DataCentre: "a", Seeds: []string{"10.0.0.2"}, Strength: 1, ApplyWithin: time.Second, Heartbeat: time.Second,
+	}, nilDecoder{}, func(string, ...any) {})
+	v := reflect.ValueOf(o)
+	for i := range v.NumField() {
+		if v.Field(i).IsZero() {
+			t.Errorf("%s is not set", v.Type().Field(i).Name)
+		}
+	}
+}
+
+type nilDecoder struct{ news.Decoder }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,11 +80,7 @@
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.counts)
 	g.door = &door{runner: g.runner, headers: p.Headers, log: l, counts: g.counts}
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
-	state := news.NewState(g.started, news.Options{
-		Address: s.Address, DataCentre: s.DataCentre, Seeds: s.Seeds, Decoder: p.Decoder,
-		Strength:    s.Strength,
-		ApplyWithin: s.ApplyWithin, Log: event,
-	})
+	state := news.NewState(g.started, newsOptions(s, p.Decoder, event))
 	port := strconv.Itoa(s.PeerPort)
 	var err error
 	g.feed, err = feed.New(feed.Options{
@@ -99,6 +95,14 @@
 	return g, nil
 }
 
+// newsOptions returns what the state of news needs of the settings.
+func newsOptions(s Settings, d news.Decoder, event func(string, ...any)) news.Options {
+	return news.Options{
+		Address: s.Address, DataCentre: s.DataCentre, Seeds: s.Seeds, Strength: s.Strength, Decoder: d,
+		ApplyWithin: s.ApplyWithin, Heartbeat: s.Heartbeat, Log: event,
+	}
+}
+
 func (g *Gateway) gauges() {
 	g.counts.set.NewGauge("figmast_backend_connections", func() float64 { return float64(g.runner.pool.Open()) })
 	g.counts.set.NewGauge("figmast_requests_in_progress", func() float64 { return float64(g.door.active.Load()) })
