--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
@@ -143,7 +144,7 @@
 	calls    map[CallID]*call
 	lastRun  RunID
 	lastCall CallID
-	timers   timers
+	timers   timers.Heap[*run]
 	services map[string]*service
 	routes   map[string]*routeRecord
 	crashes  crashes
@@ -192,18 +193,20 @@
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) Actions {
-	for len(e.timers) > 0 && !now.Before(e.timers[0].wake) {
-		e.timers[0].tick(now)
+	for {
+		r, at, ok := e.timers.First()
+		if !ok || now.Before(at) {
+			break
+		}
+		r.tick(now)
 	}
 	return e.take()
 }
 
 // Next returns when Tick has something to do.
 func (e *Engine) Next() (time.Time, bool) {
-	if len(e.timers) == 0 {
-		return time.Time{}, false
-	}
-	return e.timers[0].wake, true
+	_, at, ok := e.timers.First()
+	return at, ok
 }
 
 // Running returns how many requests are in progress.
--- a/forward/run.go
+++ b/forward/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
@@ -35,8 +36,7 @@
 	// unsure counts calls that a server may have run.
 	unsure int
 	trace  []string
-	wake   time.Time
-	index  int
+	timer  timers.Timer
 	done   bool
 }
 
@@ -49,8 +49,11 @@
 	}
 }
 
+// Timer implements timers.Item.
+func (r *run) Timer() *timers.Timer { return &r.timer }
+
 func (e *Engine) newRun(now time.Time, id RunID, req Request) *run {
-	r := &run{engine: e, id: id, req: req, began: now, index: noTimer, record: e.record(req.Route)}
+	r := &run{engine: e, id: id, req: req, began: now, timer: timers.Timer{Order: uint64(id)}, record: e.record(req.Route)}
 	r.objective = now.Add(req.Route.Objective - req.Elapsed - deliveryMargin)
 	return r
 }
@@ -204,7 +207,7 @@
 	for i := range r.parts {
 		r.parts[i].stop()
 	}
-	r.engine.timers.stop(r)
+	r.engine.timers.Stop(r)
 	delete(r.engine.runs, r.id)
 }
 
@@ -236,7 +239,7 @@
 	if next.Before(now) {
 		next = now
 	}
-	r.engine.timers.set(r, next)
+	r.engine.timers.Set(r, next)
 }
 
 // service returns the service of a request: the route's own, or the one that
--- a/query/admission.go
+++ b/query/admission.go
@@ -123,7 +123,7 @@
 	r.hold = now.Add(min(longestHold, r.req.Deadline.Sub(now)/holdShare))
 	heap.Push(&s.queue, r)
 	e.queued += len(r.req.Payload)
-	e.timers.set(r, r.hold)
+	e.timers.Set(r, r.hold)
 	e.decide(r, decision.Queued, nil, string(r.req.Urgency))
 	for len(s.queue) > s.longest() || e.queued > maxQueuedBytes {
 		s.lastInLine().refuse(now, "the service is overloaded", "admit", queueFull)
@@ -186,7 +186,7 @@
 		r.refuse(now, "too little time left", "admit", tooLate)
 		return 0
 	}
-	r.engine.timers.stop(r)
+	r.engine.timers.Stop(r)
 	r.begin(now)
 	return len(r.parts)
 }
--- a/query/engine.go
+++ b/query/engine.go
@@ -13,6 +13,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/decision"
+	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 )
@@ -70,7 +71,7 @@
 	last     RunID
 	runs     map[RunID]*run
 	calls    map[leafcall.ID]*attempt
-	timers   timers
+	timers   timers.Heap[*run]
 	services map[string]*service
 	fair     turns
 	queued   int // bytes of payload in queues
@@ -129,8 +130,11 @@
 
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) Actions {
-	for len(e.timers) > 0 && !now.Before(e.timers[0].wake) {
-		r := e.timers[0]
+	for {
+		r, at, ok := e.timers.First()
+		if !ok || now.Before(at) {
+			break
+		}
 		r.tick(now)
 		e.pump(now, r.service)
 	}
@@ -139,10 +143,8 @@
 
 // Next returns when Tick has something to do.
 func (e *Engine) Next() (time.Time, bool) {
-	if len(e.timers) == 0 {
-		return time.Time{}, false
-	}
-	return e.timers[0].wake, true
+	_, at, ok := e.timers.First()
+	return at, ok
 }
 
 // Running returns how many queries are in progress, queued ones included.
--- a/query/property_test.go
+++ b/query/property_test.go
@@ -277,8 +277,8 @@
 		h.reply(c, leafcall.Cancelled)
 	}
 	e := h.engine
-	if len(e.runs)+len(e.calls)+len(e.timers)+e.queued != 0 {
-		h.t.Fatalf("left over: %d runs, %d calls, %d timers, %d bytes", len(e.runs), len(e.calls), len(e.timers), e.queued)
+	if len(e.runs)+len(e.calls)+e.timers.Len()+e.queued != 0 {
+		h.t.Fatalf("left over: %d runs, %d calls, %d timers, %d bytes", len(e.runs), len(e.calls), e.timers.Len(), e.queued)
 	}
 	for _, s := range e.services {
 		if s.running+len(s.queue) != 0 || s.crowded != [ranks]int{} {
--- a/query/run.go
+++ b/query/run.go
@@ -10,6 +10,7 @@
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/decision"
 	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/leafcall"
 	"github.com/figmast/figmast/policy"
 )
@@ -37,9 +38,8 @@
 	// patience is when the query may answer with less than everything; zero
 	// where the document sets none.
 	patience time.Time
-	// wake is when the run wants a tick, and timer its index in the heap.
-	wake  time.Time
-	timer int
+	// timer is when the run wants a tick.
+	timer timers.Timer
 	// place is the index in the service's queue.
 	place    int
 	hold     time.Time
@@ -47,6 +47,9 @@
 	done     bool
 }
 
+// Timer implements timers.Item.
+func (r *run) Timer() *timers.Timer { return &r.timer }
+
 func newRun(e *Engine, id RunID, req Request) *run {
 	h := xxhash.New()
 	_, _ = h.WriteString(req.Service)
@@ -54,7 +57,7 @@
 	_, _ = h.WriteString(req.Operation)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write(req.Payload)
-	return &run{engine: e, id: id, req: req, fingerprint: h.Sum64(), timer: noTimer, place: noPlace}
+	return &run{engine: e, id: id, req: req, fingerprint: h.Sum64(), timer: timers.Timer{Order: uint64(id)}, place: noPlace}
 }
 
 // begin starts an admitted run.
@@ -228,7 +231,7 @@
 	if r.place != noPlace {
 		r.service.unqueue(r)
 	}
-	r.engine.timers.stop(r)
+	r.engine.timers.Stop(r)
 	delete(r.engine.runs, r.id)
 }
 
@@ -274,12 +277,12 @@
 	if r.patience.After(now) && r.patience.Before(next) {
 		next = r.patience
 	}
-	r.engine.timers.set(r, next)
+	r.engine.timers.Set(r, next)
 }
 
 // soon makes sure that the run ticks at that time at the latest.
 func (r *run) soon(at time.Time) {
-	if r.timer != noTimer && at.Before(r.wake) {
-		r.engine.timers.set(r, at)
+	if wake, set := r.timer.Set(); set && at.Before(wake) {
+		r.engine.timers.Set(r, at)
 	}
 }
