--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -25,6 +25,9 @@
 	// otherCost is what a server away costs beside the one that this host
 	// prefers, where connections are scarce.
 	otherCost = 1.3
+	// settleFor is how long servers count the connections of hosts that lost
+	// power, as seen on played days: about seven seconds.
+	settleFor = 7 * time.Second
 	// mostConnections bounds the calls in flight of one host to one server.
 	mostConnections = 16
 	// fewestHosts is what a host goes by that knows of fewer.
@@ -276,7 +279,7 @@
 		return AllDown
 	case len(t.calls) >= t.limit:
 		return AllBusy
-	case spare && t.overdue(now):
+	case spare && (t.overdue(now) || b.settling(now, t)):
 		return AllBusy
 	case !t.allowsCold(now, false):
 		return AllCold
@@ -284,6 +287,13 @@
 	return Picked
 }
 
+// settling reports whether the target is away, its connections are scarce and
+// this host has just started: servers may still count the connections of the
+// hosts that ran before, and second calls would meet their caps.
+func (b *Balancer) settling(now time.Time, t *Target) bool {
+	return !t.local && t.limit == 1 && now.Sub(b.start) < settleFor
+}
+
 // cost of one more call to a server; the least wins.
 func (b *Balancer) cost(now time.Time, t *Target) float64 {
 	part := float64(t.Slots) / float64(b.local)
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -134,6 +134,22 @@
 	}
 }
 
+// TestAHostThatHasJustStarted asks no second server away where connections are
+// scarce: servers still count those of the hosts that ran before.
+func TestAHostThatHasJustStarted(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := testBalancer(now, "10.0.0.0", "a", 80)
+	b.ApplyPicture(now, testPicture(threeServers...))
+	tried := b.pools["s"].list[:1]
+	_, why := b.Choose(now, Choice{Service: "s", Tried: tried, Spare: true})
+	is.Equal(why, AllBusy)
+	_, why = b.Choose(now, Choice{Service: "s", Tried: tried})
+	is.Equal(why, Picked) // after a failure it may go there
+	_, why = b.Choose(now.Add(settleFor), Choice{Service: "s", Tried: tried, Spare: true})
+	is.Equal(why, Picked)
+}
+
 // TestALifetimeIsItsOwnServer: a server that starts again under its ID.
 func TestALifetimeIsItsOwnServer(t *testing.T) {
 	now := time.Unix(1000, 0)
