--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -260,6 +260,30 @@
 	w.is.Equal(w.finished[id].Verdict, Expired)
 }
 
+// TestALateTimeoutIsNoFailure: a call that times out when the request has met
+// its deadline ends it as expired.
+func TestALateTimeoutIsNoFailure(t *testing.T) {
+	w := newWorld(t, "s")
+	id := w.start(single(false))
+	w.now = w.now.Add(3 * time.Second)
+	w.reply(w.sends[0], Reply{Outcome: TimedOut})
+	w.is.Equal(w.finished[id].Verdict, Expired)
+}
+
+// TestEndAll: a host that exits answers what is in progress.
+func TestEndAll(t *testing.T) {
+	rt, shards := gatherRoute(4, 0.5)
+	w := newWorld(t, append(shards, "s")...)
+	merged := w.start(rt)
+	w.reply(w.sends[0], ok("0123456789abcdef"))
+	w.reply(w.sends[1], ok("0123456789abcdef"))
+	ran := w.start(single(false))
+	w.take(w.engine.EndAll(w.now))
+	w.is.Equal(w.finished[merged].Missing, 2)
+	w.is.Equal(w.finished[ran].Verdict, Failed) // it may have run
+	w.is.Equal(w.engine.Running(), 0)
+}
+
 func TestACallerThatLeavesFreesItsCalls(t *testing.T) {
 	w := newWorld(t, "s")
 	id := w.start(single(true))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -209,6 +209,28 @@
 	return at, ok
 }
 
+// EndAll gives every request in progress its final answer: the host is about
+// to exit.
+func (e *Engine) EndAll(now time.Time) Actions {
+	for _, r := range e.runs {
+		switch {
+		case r.enough(r.have):
+			r.answer(now)
+		case r.unsure == 0:
+			r.refuse(now, stopping, stoppingRetryAfter)
+		default:
+			r.finish(now, Finish{Verdict: Failed, Reason: stopping})
+		}
+	}
+	return e.take()
+}
+
+const (
+	stopping = "the host is stopping"
+	// stoppingRetryAfter lets a caller come back at once, to another host.
+	stoppingRetryAfter = 10 * time.Millisecond
+)
+
 // Running returns how many requests are in progress.
 func (e *Engine) Running() int { return len(e.runs) }
 
--- a/forward/run.go
+++ b/forward/run.go
@@ -125,13 +125,13 @@
 	switch {
 	case r.open == 0 && r.enough(r.have):
 		r.answer(now)
-	case !r.enough(r.have + r.open):
-		r.fail(now)
 	case r.enough(r.have) && !now.Before(r.objective):
 		r.note("answered without %d parts at the objective", r.open)
 		r.answer(now)
 	case !now.Before(r.expiry()):
 		r.expire(now)
+	case !r.enough(r.have + r.open):
+		r.fail(now)
 	}
 }
 
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -252,6 +252,13 @@
 	go r.tidy()
 }
 
+// endAll gives every request in progress its final answer.
+func (r *runner) endAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.act(r.engine.EndAll(r.now()))
+}
+
 // end stops the timers and gives up every call.
 func (r *runner) end() {
 	close(r.stop)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -39,6 +39,10 @@
 			break
 		}
 	}
+	if left := g.door.active.Load(); left > 0 {
+		g.log.Warn("requests ended by the stop", "requests", left)
+		g.runner.endAll()
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), last.Add(graceMargin/2))
 	defer cancel()
 	err := g.callers.shutdown(ctx)
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -16,6 +16,8 @@
 type Options struct {
 	// RequestID is the header that an answer echoes.
 	RequestID string
+	// DialTimeout bounds opening a connection; 0 means 250 ms.
+	DialTimeout time.Duration
 	// Now returns the host's time.
 	Now func() time.Time
 }
@@ -64,6 +66,9 @@
 
 // NewPool returns a Pool without connections.
 func NewPool(opts Options) *Pool {
+	if opts.DialTimeout == 0 {
+		opts.DialTimeout = dialTimeout
+	}
 	return &Pool{opts: opts, idle: make(map[Peer][]*conn)}
 }
 
@@ -146,7 +151,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, peer Peer) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: p.opts.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: userTimeout, Interval: time.Second, Count: 3,
 	}}
 	c, err := d.DialContext(ctx, "tcp", peer.Address)
