--- a/soak/backend.go
+++ b/soak/backend.go
@@ -50,7 +50,6 @@
 	link     *link
 	random   *rand.Rand
 	mu       sync.Mutex
-	gone     bool
 }
 
 const (
@@ -152,7 +151,6 @@
 }
 
 func (b *backend) close() {
-	b.gone = true
 	_ = b.listener.Close()
 	b.link.close()
 }
