A watch answer holds for when the store gave it, not for when it is taken in

Cause: TakeWatch confirmed 'nothing newer' as of now. A host that was suspended during a watch (SIGSTOP up to 2.5 s) told others that its news were of no age, and they looked at the store for themselves that much later. Found while looking for the cause of soak seed 2022; not shown to be that cause. Test: TestLateWatchConfirmsLittle, failing first in three cases. The soak keeps logs and notes for each seed, and plays 402 and 2022 in the tests.

--- a/cmd/figmast-soak/main.go
+++ b/cmd/figmast-soak/main.go
@@ -49,8 +49,8 @@
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
-		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d unanswered, %d promises broken\n",
-			seed, r.Requests, r.Served, r.Refused, r.Failed, r.Unanswered, len(r.Faults))
+		fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d unanswered, stalled %v, %d promises broken\n",
+			seed, r.Requests, r.Served, r.Refused, r.Failed, r.Unanswered, r.Stalled.Round(time.Millisecond), len(r.Faults))
 		for _, f := range r.Faults[:min(len(r.Faults), 20)] {
 			fmt.Println("  " + f)
 		}
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -68,9 +68,6 @@
 	// Pauses after a failed read; refused calls are priced too.
 	firstPause = 200 * time.Millisecond
 	maxPause   = 2 * time.Second
-	// readSlack is how much longer than its wait a watch may take: several
-	// times the 4 ms that the platform names.
-	readSlack = 400 * time.Millisecond
 	// rangeWithin bounds a full read.
 	rangeWithin = 1500 * time.Millisecond
 )
@@ -185,7 +182,7 @@
 			f.readRange(now)
 			return
 		}
-		f.watch()
+		f.watch(now)
 	case news.ReadNothing:
 	}
 }
@@ -203,15 +200,15 @@
 	})
 }
 
-func (f *Feed) watch() {
+func (f *Feed) watch(asked time.Time) {
 	wait, after := f.opts.State.WatchWait(), f.opts.State.Revision()
-	f.goRead(wait+readSlack, func(ctx context.Context) {
+	f.goRead(f.opts.State.WatchWithin(), func(ctx context.Context) {
 		items, revision, err := f.opts.Store.Watch(ctx, after, wait)
 		f.post(func(now time.Time) {
 			if !f.readEnded(now, "watch", err) {
 				return
 			}
-			f.opts.State.TakeWatch(now, items, revision)
+			f.opts.State.TakeWatch(now, asked, items, revision)
 			if len(items) > 0 {
 				f.readFrom = now.Add(settle)
 			}
--- a/news/reading.go
+++ b/news/reading.go
@@ -28,9 +28,30 @@
 	pollPart = 10
 )
 
+// watchSlack is how much longer than its wait a watch may take: several times
+// the 4 ms that the platform names.
+const watchSlack = 400 * time.Millisecond
+
 // WatchWait returns how long a watch of the store waits for a first change.
 func (s *State) WatchWait() time.Duration { return s.opts.ApplyWithin / watchPart }
 
+// WatchWithin returns how long a watch may take in all.
+func (s *State) WatchWithin() time.Duration { return s.WatchWait() + watchSlack }
+
+// watchedUntil returns until when an answer to a watch at now is known to hold.
+// The store gives it when something changes or when the wait is over; a host
+// that was suspended takes it in later.
+func (s *State) watchedUntil(now, asked time.Time, changed bool) time.Time {
+	end := asked.Add(s.WatchWait())
+	switch {
+	case now.Before(end), changed && now.Sub(asked) <= s.WatchWithin():
+		return now
+	case changed:
+		return asked
+	}
+	return end
+}
+
 // PollEvery returns how often to ask the upstreams.
 func (s *State) PollEvery() time.Duration { return s.opts.ApplyWithin / pollPart }
 
--- a/news/state.go
+++ b/news/state.go
@@ -109,10 +109,9 @@
 	}
 }
 
-// TakeWatch takes in the answer to a watch at now: the store held nothing newer
-// then.
-func (s *State) TakeWatch(now time.Time, items []Item, revision int64) {
-	s.confirm(now, now)
+// TakeWatch takes in the answer at now to a watch that was asked for at asked.
+func (s *State) TakeWatch(now, asked time.Time, items []Item, revision int64) {
+	s.confirm(now, s.watchedUntil(now, asked, len(items) > 0))
 	s.delta(now, items, revision)
 }
 
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -94,6 +94,7 @@
 	address string
 	last    map[string]*Update
 	polled  map[string]time.Time
+	asked   time.Time
 	watch   time.Time
 	after   int64
 	pause   time.Time
@@ -199,7 +200,7 @@
 		h.state.TakeRange(f.now, f.now, f.store.since(0), f.store.revision, false)
 	case ReadWatch:
 		f.store.reads++
-		h.watch, h.after = f.now.Add(h.state.WatchWait()), h.state.Revision()
+		h.asked, h.watch, h.after = f.now, f.now.Add(h.state.WatchWait()), h.state.Revision()
 	case ReadNothing:
 	}
 }
@@ -215,7 +216,7 @@
 		h.pause = f.now.Add(time.Second)
 		return
 	}
-	h.state.TakeWatch(f.now, items, f.store.revision)
+	h.state.TakeWatch(f.now, h.asked, items, f.store.revision)
 	if len(items) > 0 {
 		h.pause = f.now.Add(250 * time.Millisecond)
 	}
@@ -333,7 +334,7 @@
 	is.Equal(len(p.Servers), 1) // a broken entry names no server, the others hold
 	is.True(p.Evacuated["b"])
 
-	s.TakeWatch(now, []Item{
+	s.TakeWatch(now, now, []Item{
 		{Key: "config", Value: []byte("6"), Revision: 7},   // older than what is in force
 		{Key: "server/x", Value: []byte("4"), Revision: 8}, // from an earlier lifetime
 		{Key: "out/b", Revision: 9, Deleted: true},
@@ -344,7 +345,7 @@
 	is.True(!p.Evacuated["b"])
 
 	// A range drops what it does not hold, but nothing newer than itself.
-	s.TakeWatch(now, []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, 12)
+	s.TakeWatch(now, now, []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, 12)
 	s.TakeRange(now, now, []Item{{Key: "config", Value: []byte("7"), Revision: 3}}, 20, false)
 	p, _ = s.Picture(now)
 	is.Equal(len(p.Servers), 0)
@@ -365,3 +366,37 @@
 		is.Equal(h.state.Crashes(f.now)[42], 3)
 	}
 }
+
+// TestLateWatchConfirmsLittle: what a watch says holds for when the store
+// answered. A host that was suspended meanwhile must not tell others that
+// nothing is newer now, or they do not look for themselves in time.
+func TestLateWatchConfirmsLittle(t *testing.T) {
+	const late = 2500 * time.Millisecond
+	change := []Item{{Key: "config", Value: []byte("2"), Revision: 2}}
+	for _, c := range []struct {
+		name  string
+		took  time.Duration
+		items []Item
+		age   time.Duration
+	}{
+		{"no news, in time", testApply / watchPart, nil, 0},
+		{"no news, some time on the way", testApply/watchPart + 100*time.Millisecond, nil, 100 * time.Millisecond},
+		{"no news, taken in after a suspension", late, nil, late - testApply/watchPart},
+		{"no news, sooner than asked for", 10 * time.Millisecond, nil, 0},
+		{"news, in time", 300 * time.Millisecond, change, 0},
+		{"news, taken in after a suspension", late, change, late},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			asked := time.Unix(1000, 0)
+			s := NewState(asked, Options{Address: "10.0.0.1", Decoder: plain{}, ApplyWithin: testApply})
+			s.TakeRange(asked, asked.Add(-testApply), []Item{{Key: "config", Value: []byte("1"), Revision: 1}}, 1, false)
+			now := asked.Add(c.took)
+			s.TakeWatch(now, asked, c.items, int64(1+len(c.items)))
+			age, known := s.Age(now)
+			is.True(known)
+			is.Equal(age, c.age)
+			is.Equal(s.News(now, 1).AgeMs, c.age.Milliseconds()) // what others are told
+		})
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +24,8 @@
 
 // Options configure a run.
 type Options struct {
-	// Program is the path of figmast-gateway, Dir where logs are kept.
+	// Program is the path of figmast-gateway, Dir where logs are kept, in a
+	// folder for each seed.
 	Program string
 	Dir     string
 	Seed    uint64
@@ -38,6 +41,8 @@
 type Report struct {
 	Requests, Served, Refused, Failed, Unanswered int
 	Faults                                        []string
+	// Stalled is how long the run itself did not get to run, in sum.
+	Stalled time.Duration
 }
 
 const (
@@ -68,13 +73,23 @@
 	moves    []move
 	version  int64
 	next     int
+	notes    *notes
 }
 
 // Run plays one seed.
 func Run(ctx context.Context, o Options) (Report, error) {
+	o.Dir = filepath.Join(o.Dir, fmt.Sprintf("seed-%d", o.Seed))
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return Report{}, err
+	}
+	n, err := newNotes(filepath.Join(o.Dir, "notes.log"))
+	if err != nil {
+		return Report{}, err
+	}
+	defer n.close()
 	w := &world{
 		opts: o, headers: platform.Headers(), random: rand.New(rand.NewPCG(o.Seed, 1)), store: standin.NewStore(),
-		drained: make(map[string]time.Time),
+		drained: make(map[string]time.Time), notes: n,
 	}
 	defer w.end()
 	if err := w.begin(); err != nil {
@@ -86,7 +101,7 @@
 	var done sync.WaitGroup
 	done.Add(1)
 	go func() { defer done.Done(); c.run(clientsCtx, o.Clients, o.Seed) }()
-	err := w.trouble(ctx)
+	err = w.trouble(ctx)
 	stop()
 	done.Wait()
 	if err != nil {
@@ -98,7 +113,12 @@
 		h.runs[x.request] = append(h.runs[x.request], x)
 	}
 	w.ledger.mu.Unlock()
-	return h.report(), nil
+	r := h.report()
+	r.Stalled = n.stalled()
+	for _, f := range r.Faults {
+		n.add("promise broken: %s", f)
+	}
+	return r, nil
 }
 
 func (h *history) report() Report {
@@ -211,6 +231,7 @@
 	}
 	w.moves = append(w.moves, move{time.Now(), service})
 	w.store.PutConfig(c)
+	w.notes.add("version %d: %s at %s", w.version, kindRepeat, service)
 }
 
 // trouble injects faults, each of which may overlap with others.
@@ -254,7 +275,13 @@
 	return failed
 }
 
+// harmNames tell in the notes what each kind of trouble is.
+var harmNames = []string{
+	"kill", "restart", "pause", "reload", "store link", "all store links", "server link", "configuration", "compaction", "replacement",
+}
+
 func (w *world) harmHost(h *host, kind int, d time.Duration) error {
+	w.notes.add("%s: %s for %v", h.Name, harmNames[kind], d)
 	switch kind {
 	case 0:
 		return h.kill(d / 4)
@@ -271,6 +298,7 @@
 
 func (w *world) harmRest(h *host, b *backend, kind int, d time.Duration) error {
 	form := harm(1 + w.random.IntN(int(harms)-1))
+	w.notes.add("%s of %s or %s, form %d, for %v", harmNames[kind], h.Name, b.entry.ID, form, d)
 	switch kind {
 	case 4:
 		h.harm(d, false)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,7 +13,14 @@
 
 // seeds are played in each run of the tests: a first one, and every seed that
 // ever failed, with its cause.
-var seeds = []uint64{1}
+var seeds = []uint64{
+	1,
+	402,  // a stopping host exited while a request was in progress at a silent server
+	2022, // two calls at a service that was no longer named; cause not known
+}
+
+// firstNet is the third octet of the first run's hosts.
+const firstNet = 200
 
 func TestSeeds(t *testing.T) {
 	dir := t.TempDir()
@@ -22,11 +29,12 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	for _, seed := range seeds {
+	for i, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			r, err := Run(context.Background(), Options{
-				Program: program, Dir: dir, Seed: seed, For: 8 * time.Second, Hosts: 4, Clients: 8, First: 200,
+				Program: program, Dir: dir, Seed: seed, For: 8 * time.Second, Hosts: 4, Clients: 8, First: firstNet + i,
 			})
 			is.NoErr(err)
 			for _, f := range r.Faults {
