Waiting in vain ends soon: the queue is looked at again while it stands

Change: every 50 ms parts whose wait at the rate of now is over 0.8 of what is left are given up, and the first few when nothing ended for a second and half of their time is gone. Test: TestWaitingInVainEndsSoon, failing first (2.99 s).

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -405,3 +405,70 @@
 		t.Errorf("%d requests were served in time of %.0f that could be", inTime, possible)
 	}
 }
+
+// TestWaitingInVainEndsSoon plays the load of servers that hang while a queue
+// stands before them: nobody is held until the deadline for a server that will
+// not be free, and those who are told so come back to servers that work.
+func TestWaitingInVainEndsSoon(t *testing.T) {
+	const (
+		// mostHeld is half of the time that requests have, and a little; soon
+		// is when all but a few must know.
+		mostHeld = 1600 * time.Millisecond
+		soon     = rateWindow + 100*time.Millisecond
+	)
+	for name, waiting := range map[string]int{"a long queue": 60, "a short queue": 3} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "s")
+			rt := single(true)
+			rt.Attempts = 1
+			var calls []Send
+			for w.engine.service("s").waiting() == 0 {
+				w.start(rt)
+				calls = append(calls, w.sends...)
+				w.sends = nil
+				w.is.True(len(calls) < 1000) // the connections are bounded
+			}
+			// The service has answered at a good rate until now.
+			for range 100 {
+				w.reply(calls[0], ok("x"))
+				calls = append(calls[1:], w.sends...)
+				w.sends = nil
+				w.pass(2 * time.Millisecond)
+				for w.engine.service("s").waiting() == 0 {
+					w.start(rt)
+					calls = append(calls, w.sends...)
+					w.sends = nil
+				}
+			}
+			began := w.now
+			ids := make(map[RunID]bool)
+			for range waiting {
+				if id := w.start(rt); w.finished[id].Run == 0 {
+					ids[id] = true
+				}
+			}
+			w.is.True(len(ids) == waiting) // they wait, as the queue drains
+			var last time.Duration
+			for w.now.Before(began.Add(rt.Timeout)) {
+				w.pass(10 * time.Millisecond)
+				if w.now.Sub(began) > soon {
+					w.is.True(len(ids) <= fewWaiting)
+				}
+				for id := range ids {
+					f, done := w.finished[id]
+					if !done {
+						continue
+					}
+					delete(ids, id)
+					last = w.now.Sub(began)
+					w.is.Equal(f.Verdict, Refused)
+					w.is.True(f.RetryAfter > 0)
+				}
+			}
+			w.is.Equal(len(ids), 0)
+			if last > mostHeld {
+				t.Errorf("the last one was told after %v", last)
+			}
+		})
+	}
+}
--- a/forward/part.go
+++ b/forward/part.go
@@ -27,7 +27,9 @@
 	ran  int
 	// spareAt is when a second server may be asked; it is zero while none may.
 	spareAt time.Time
+	// waiting is set while the part waits for a server, since that time.
 	waiting bool
+	since   time.Time
 
 	signature string
 	body      []byte
@@ -184,6 +186,10 @@
 }
 
 func (p *part) tick(now time.Time) {
+	if p.waiting {
+		p.service.review(now)
+		return
+	}
 	if p.state != partOpen || p.spareAt.IsZero() || now.Before(p.spareAt) || len(p.calls) == 0 {
 		return
 	}
@@ -201,6 +207,9 @@
 
 // due returns when the part wants a tick.
 func (p *part) due() (time.Time, bool) {
+	if p.waiting {
+		return p.service.reviewAt, true
+	}
 	if p.state != partOpen || p.spareAt.IsZero() || len(p.calls) == 0 {
 		return time.Time{}, false
 	}
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -15,6 +15,8 @@
 	engine *Engine
 	name   string
 	queue  []*part
+	// reviewAt is when those that wait are looked at again.
+	reviewAt time.Time
 	// ended and since measure how fast calls end.
 	rate   float64
 	rateAt time.Time
@@ -29,6 +31,13 @@
 	// fewWaiting parts are never refused: their wait is short whatever the
 	// rate.
 	fewWaiting = 4
+	// reviewEvery is how often those that wait are looked at again; the
+	// shortest objectives are a few times as long.
+	reviewEvery = 50 * time.Millisecond
+	// stillShare of its time is how long a part waits, even as one of a few,
+	// for a service at which no call ends: what is left then is little more
+	// than a caller needs to try elsewhere.
+	stillShare = 0.5
 )
 
 func (e *Engine) service(name string) *service {
@@ -77,15 +86,45 @@
 			first++
 		}
 	}
-	if first < fewWaiting {
+	return s.late(now, p, first)
+}
+
+// late is refuses for a part that so many others go before.
+func (s *service) late(now time.Time, p *part, first int) (string, bool) {
+	left := p.run.expiry().Sub(now)
+	if first >= fewWaiting {
+		return string(policy.AllBusy), s.drain(now, first) > time.Duration(lateShare*float64(left))
+	}
+	if s.speed(now) > 0 || !p.waiting {
 		return "", false
 	}
-	wait := s.drain(now, first)
-	left := p.run.expiry().Sub(now)
-	if wait > time.Duration(lateShare*float64(left)) {
-		return string(policy.AllBusy), true
+	waited := now.Sub(p.since)
+	return string(policy.AllBusy), waited > time.Duration(stillShare*float64(waited+left))
+}
+
+// review gives up those that wait in vain since the service has slowed down or
+// more urgent requests have come. The load that it answers: servers that hang
+// or are lost while a queue stands before them.
+func (s *service) review(now time.Time) {
+	if now.Before(s.reviewAt) {
+		return
+	}
+	s.reviewAt = now.Add(reviewEvery)
+	order := slices.SortedFunc(slices.Values(s.queue), func(a, b *part) int { return before(now, a, b) })
+	first := 0
+	for _, p := range order {
+		if !p.waiting {
+			continue // its request has ended in this review
+		}
+		reason, late := s.late(now, p, first)
+		if !late {
+			first++
+			continue
+		}
+		p.lose(now, reason)
+		p.run.settle(now)
+		p.run.rest(now)
 	}
-	return "", false
 }
 
 // drain returns how long it takes until that many waiting parts are served.
@@ -116,7 +155,7 @@
 	if p.waiting {
 		return
 	}
-	p.waiting = true
+	p.waiting, p.since = true, now
 	s.queue = append(s.queue, p)
 }
 
