--- a/cmd/figmast/main.go
+++ b/cmd/figmast/main.go
@@ -29,6 +29,7 @@
 	Query    *queryArgs    `arg:"subcommand:query" help:"send a query"`
 	Command  *commandArgs  `arg:"subcommand:command" help:"run a command at most once"`
 	Load     *loadArgs     `arg:"subcommand:load" help:"send requests at a rate and measure"`
+	Plot     *plotArgs     `arg:"subcommand:plot" help:"draw worth over time from reports of played days"`
 	Try      *tryArgs      `arg:"subcommand:try" help:"run a small fleet in this process and show what it does"`
 
 	JSON bool `arg:"--json" help:"print JSON for scripts"`
@@ -73,6 +74,8 @@
 		return a.Command
 	case a.Load != nil:
 		return a.Load
+	case a.Plot != nil:
+		return a.Plot
 	case a.Try != nil:
 		return a.Try
 	}
--- a/cmd/figmast/ops_test.go
+++ b/cmd/figmast/ops_test.go
@@ -253,3 +253,18 @@
 	_, err = invoke(t, "status")
 	is.True(strings.Contains(err.Error(), "FIGMAST_OPS"))
 }
+
+// TestPlot: every report that can be read is drawn, the others are named.
+func TestPlot(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	good, bad := filepath.Join(dir, "day.json"), filepath.Join(dir, "bad.json")
+	is.NoErr(os.WriteFile(good, []byte(`{"windows": [{"name": "0", "n": 1, "worth": 1}, {"name": "2", "n": 1, "worth": 0.5}]}`), 0o600))
+	is.NoErr(os.WriteFile(bad, []byte(`{}`), 0o600))
+	out, err := invoke(t, "plot", "--out", dir, bad, good)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), bad))
+	is.True(strings.Contains(out, filepath.Join(dir, "day.svg")))
+	_, err = os.Stat(filepath.Join(dir, "day.svg"))
+	is.NoErr(err)
+}
