--- /dev/null
+++ b/soak/trouble.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// trouble injects faults, each of which may overlap with others.
+func (w *world) trouble(ctx context.Context) error {
+	var overlapping sync.WaitGroup
+	defer overlapping.Wait()
+	var mu sync.Mutex
+	var failed error
+	busy := make(map[*host]bool)
+	end := time.Now().Add(w.opts.For)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		time.Sleep(time.Duration(100+w.random.IntN(500)) * time.Millisecond)
+		d := time.Duration(200+w.random.IntN(2500)) * time.Millisecond
+		h := w.hosts[w.random.IntN(len(w.hosts))]
+		b := w.backends[w.random.IntN(len(w.backends))]
+		kind := w.random.IntN(10)
+		if kind < 4 {
+			mu.Lock()
+			taken := busy[h]
+			busy[h] = true
+			mu.Unlock()
+			if taken {
+				continue
+			}
+			overlapping.Add(1)
+			go func() {
+				defer overlapping.Done()
+				err := w.harmHost(h, kind, d)
+				mu.Lock()
+				defer mu.Unlock()
+				busy[h] = false
+				failed = errors.Join(failed, err)
+			}()
+			continue
+		}
+		if err := w.harmRest(h, b, kind, d); err != nil {
+			return err
+		}
+	}
+	overlapping.Wait()
+	return failed
+}
+
+// harmNames tell in the notes what each kind of trouble is.
+var harmNames = []string{
+	"kill", "restart", "pause", "reload", "store link", "all store links", "server link", "configuration", "compaction", "replacement",
+}
+
+func (w *world) harmHost(h *host, kind int, d time.Duration) error {
+	w.notes.add("%s: %s for %v", h.Name, harmNames[kind], d)
+	switch kind {
+	case 0:
+		return h.kill(d / 4)
+	case 1:
+		return h.restart()
+	case 2:
+		h.pause(d)
+	case 3:
+		h.harm(0, true)
+		h.signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+func (w *world) harmRest(h *host, b *backend, kind int, d time.Duration) error {
+	form := harm(1 + w.random.IntN(int(harms)-1))
+	w.notes.add("%s of %s or %s, form %d, for %v", harmNames[kind], h.Name, b.entry.ID, form, d)
+	switch kind {
+	case 4:
+		h.harm(d, false)
+		h.store.set(form, d)
+	case 5:
+		for _, x := range w.hosts {
+			x.harm(d, false)
+			x.store.set(form, d)
+		}
+	case 6:
+		b.link.set(form, d)
+	case 7:
+		w.configure(plainServices[w.random.IntN(2)])
+	case 8:
+		w.store.Compact()
+	case 9:
+		return w.replace(b)
+	}
+	return nil
+}
+
+// replace starts another server of the service, and has one leave.
+func (w *world) replace(b *backend) error {
+	if b.entry.Draining {
+		return nil
+	}
+	if err := w.addBackend(b.entry.Service, w.random.IntN(3)); err != nil {
+		return err
+	}
+	b.entry.Draining = true
+	w.drained[b.entry.ID] = time.Now()
+	w.store.PutServer(b.entry)
+	time.AfterFunc(apply+2*time.Second, func() {
+		w.store.RemoveServer(b.entry.ID)
+		b.close()
+	})
+	return nil
+}
