The margin for delivery goes by the host's processor and the parts of an answer

Cause: answers left 16 ms before the objective on every host. Change: 12 ms for the way and 50 us of processor time for each part. Test: TestAWeakHostAnswersSooner (limits of hosts from 0.2 to 1 core).

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	w.balancer.ApplyPicture(w.now, p)
-	w.engine = NewEngine(Options{Balancer: w.balancer, Rand: random})
+	w.engine = NewEngine(Options{Balancer: w.balancer, Rand: random, Processor: 1})
 	return w
 }
 
@@ -199,6 +199,40 @@
 	w.is.Equal(len(w.sends), 11) // the paused shard's second server was asked
 }
 
+// TestAWeakHostAnswersSooner plays merged answers on hosts of different
+// strength: what leaves at the objective must still reach the caller in time,
+// and the work of many parts takes a weak host longer.
+func TestAWeakHostAnswersSooner(t *testing.T) {
+	for _, c := range []struct {
+		processor float64
+		parts     int
+		margin    time.Duration
+	}{
+		{1, 1, 12050 * time.Microsecond},
+		{0.8, 36, 14250 * time.Microsecond},
+		{0.4, 36, 16500 * time.Microsecond},
+		{0.2, 54, 25500 * time.Microsecond},
+	} {
+		t.Run(fmt.Sprintf("%d parts on %v of a core", c.parts, c.processor), func(t *testing.T) {
+			rt, shards := gatherRoute(max(c.parts, 2), 0.5)
+			w := newWorld(t, shards...)
+			w.engine.opts.Processor = c.processor
+			w.is.Equal(deliveryMargin(c.processor, c.parts), c.margin)
+			if c.parts == 1 {
+				return
+			}
+			id := w.start(rt)
+			for _, s := range w.sends[1:] {
+				w.reply(s, ok("0123456789abcdef"))
+			}
+			w.pass(rt.Objective - c.margin - time.Millisecond)
+			w.is.Equal(len(w.finished), 0)
+			w.pass(time.Millisecond)
+			w.is.Equal(w.finished[id].Missing, 1)
+		})
+	}
+}
+
 // TestGatherNeverBelowTheLeastShare: with too few parts it waits on.
 func TestGatherNeverBelowTheLeastShare(t *testing.T) {
 	rt, shards := gatherRoute(10, 0.89)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -135,6 +135,9 @@
 type Options struct {
 	Balancer *policy.Balancer
 	Rand     *rand.Rand
+	// Processor is the part of a processor core that the host has; it must be
+	// above 0.
+	Processor float64
 }
 
 // Engine runs the requests of one host. It is not safe for concurrent use.
--- a/forward/run.go
+++ b/forward/run.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// deliveryMargin is kept for the way of an answer back to the caller and
-	// for what the request took to get here: a round trip of 6 ms, a new
-	// connection of 6 ms and a slice of the processor.
-	deliveryMargin = 16 * time.Millisecond
 	// lingerFor is how long a call that is no longer wanted may end by itself,
 	// which keeps its connection; servers must be idle half a second after.
 	lingerFor = 300 * time.Millisecond
@@ -54,7 +50,8 @@
 
 func (e *Engine) newRun(now time.Time, id RunID, req Request) *run {
 	r := &run{engine: e, id: id, req: req, began: now, timer: timers.Timer{Order: uint64(id)}, record: e.record(req.Route)}
-	r.objective = now.Add(req.Route.Objective - req.Elapsed - deliveryMargin)
+	margin := deliveryMargin(e.opts.Processor, max(len(req.Route.Gather), 1))
+	r.objective = now.Add(req.Route.Objective - req.Elapsed - margin)
 	return r
 }
 
--- a/forward/sim_test.go
+++ b/forward/sim_test.go
@@ -97,7 +97,7 @@
 	w.balancer = policy.NewBalancer(w.now, policy.BalancerOptions{
 		Address: "10.1.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: simSlack, RetryWindow: 10 * time.Second,
 	})
-	w.engine = NewEngine(Options{Balancer: w.balancer, Rand: random})
+	w.engine = NewEngine(Options{Balancer: w.balancer, Rand: random, Processor: 1})
 	s := &sim{
 		world: w, t0: w.now, random: random, servers: make(map[string]*simServer), calls: make(map[CallID]bool),
 		started: make(map[RunID]time.Time), ended: make(map[RunID]time.Time),
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -122,7 +122,7 @@
 	logger, lines := NewLogger(io.Discard, "h")
 	t.Cleanup(lines.Close)
 	counts := newCounters()
-	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random}), counts)
+	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, Processor: 1}), counts)
 	r.crashed = func(uint64, string) {}
 	r.begin()
 	t.Cleanup(r.end)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,7 @@
 		Address: s.Address, DataCentre: s.DataCentre, Regions: s.Regions, Rand: random,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 	})
-	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random})
+	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, Processor: s.Processor})
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.counts)
 	g.door = &door{runner: g.runner, headers: p.Headers, log: l, counts: g.counts}
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
@@ -145,7 +145,7 @@
 	g.feed.Start()
 	go g.reloads()
 	g.log.Info("host started", "address", g.settings.Address, "data_centre", g.settings.DataCentre, "callers", g.settings.CallerListen,
-		"seeds", g.settings.Seeds, "memory_bytes", g.settings.MemoryBytes)
+		"seeds", g.settings.Seeds, "memory_bytes", g.settings.MemoryBytes, "processor", g.settings.Processor)
 	return nil
 }
 
