A caller that asks before it sends a body that is too long is told so at once

Cause: the body's limit was only met by reading, which told the caller to go on. Test: TestACallerThatAsksBeforeItsBody, failing first in one of three cases.

--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -351,3 +351,47 @@
 }
 
 type nilDecoder struct{ news.Decoder }
+
+// TestACallerThatAsksBeforeItsBody: it is told to go on before its body is
+// read, the server does not see that it asked, and a body that would be refused
+// is refused without it.
+func TestACallerThatAsksBeforeItsBody(t *testing.T) {
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	for name, tt := range map[string]struct {
+		head  string
+		first string
+	}{
+		"goes on":  {"POST /p/1" + get + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 100 Continue\r\n"},
+		"too long": {"POST /p/2" + get + "Expect: 100-continue\r\nContent-Length: 65\r\n\r\n", "HTTP/1.1 413 "},
+		"no route": {"POST /else" + get + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 404 "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", d.address)
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+			_, err = io.WriteString(c, tt.head)
+			is.NoErr(err)
+			before := len(b.heads)
+			r := bufio.NewReader(c)
+			line, err := r.ReadString('\n')
+			is.NoErr(err)
+			is.True(strings.HasPrefix(line, tt.first))
+			is.Equal(len(b.heads), before) // nothing was passed on yet
+			if name != "goes on" {
+				return
+			}
+			_, err = r.ReadString('\n') // the empty line after it
+			is.NoErr(err)
+			_, err = io.WriteString(c, "hello")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(r, nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(b.bodies[before], "hello")
+			is.True(!strings.Contains(b.heads[before], "Expect"))
+		})
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -127,6 +127,11 @@
 	if limit <= 0 {
 		limit = bodyBytes
 	}
+	// Others are read as far as the limit, or a caller that still sends might
+	// not see the answer.
+	if r.ContentLength > limit && r.Header.Get("Expect") != "" {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
 	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 }
 
