--- a/policy/target.go
+++ b/policy/target.go
@@ -55,7 +55,7 @@
 	// set where its connections do not suffice for two to each host.
 	limit  int
 	scarce bool
-	calls []*Call
+	calls  []*Call
 
 	factor   float64
 	factorAt time.Time
