Clean-up: one loop for due timers, one event queue for both simulations

The latency factor moved by two constants of the same value and a comment that told them apart; it is one now. The simulations of package forward share their queue of events, in the order of adding. A field's comment named another field. No behaviour changes, no assertion is touched; TestDue is new.

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -32,7 +31,6 @@
 	engines []*Engine
 	servers map[string]*fleetServer
 	events  simEvents
-	order   int
 	started map[fleetCall]time.Time
 	inTime  int
 	rt      *route.Route
@@ -74,11 +72,6 @@
 	return f
 }
 
-func (f *fleet) at(t time.Time, do func()) {
-	f.order++
-	heap.Push(&f.events, simEvent{t, f.order, do})
-}
-
 func (f *fleet) take(host int, a Actions) {
 	for _, x := range a.Finish {
 		if x.Verdict == Merged && f.now.Sub(f.started[fleetCall{host, CallID(x.Run)}]) <= f.rt.Objective {
@@ -86,7 +79,7 @@
 		}
 	}
 	for _, c := range a.Cancel {
-		f.at(f.now.Add(c.After), func() { f.end(fleetCall{host, c.Call}, Reply{Outcome: Cancelled}) })
+		f.events.add(f.now.Add(c.After), func() { f.end(fleetCall{host, c.Call}, Reply{Outcome: Cancelled}) })
 	}
 	for _, x := range a.Send {
 		s := f.servers[x.Target.ID]
@@ -104,7 +97,7 @@
 		}
 		s.running++
 		took := time.Duration(float64(simWork) * s.slow * (0.7 + 0.6*f.random.Float64()))
-		f.at(f.now.Add(took), func() {
+		f.events.add(f.now.Add(took), func() {
 			s.running--
 			f.end(c, ok("x"))
 			f.work(s)
@@ -121,14 +114,14 @@
 	for d := time.Duration(0); d < spell; d += time.Second / time.Duration(rate) {
 		n++
 		host := n % len(f.engines)
-		f.at(begin.Add(d), func() {
+		f.events.add(begin.Add(d), func() {
 			id, a := f.engines[host].Start(f.now, Request{ID: "r", Route: f.rt, Deadline: f.now.Add(f.rt.Timeout), Fingerprint: uint64(n)})
 			f.started[fleetCall{host, CallID(id)}] = f.now
 			f.take(host, a)
 		})
 	}
-	for len(f.events) > 0 {
-		first, due := -1, f.events[0].at
+	for len(f.events.list) > 0 {
+		first, due := -1, f.events.list[0].at
 		for i, e := range f.engines {
 			if at, ok := e.Next(); ok && at.Before(due) {
 				first, due = i, at
@@ -141,7 +134,7 @@
 			f.take(first, f.engines[first].Tick(f.now))
 			continue
 		}
-		heap.Pop(&f.events).(simEvent).do()
+		f.events.next().do()
 	}
 	return float64(f.inTime) / float64(n)
 }
--- a/forward/sim_test.go
+++ b/forward/sim_test.go
@@ -59,18 +59,32 @@
 	do    func()
 }
 
-type simEvents []simEvent
+// simEvents are done in the order of their times, and of being added.
+type simEvents struct {
+	list  simOrder
+	added int
+}
+
+func (e *simEvents) add(at time.Time, do func()) {
+	e.added++
+	heap.Push(&e.list, simEvent{at, e.added, do})
+}
 
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
+func (e *simEvents) next() simEvent { return heap.Pop(&e.list).(simEvent) }
+
+// simOrder implements heap.Interface.
+type simOrder []simEvent
+
+func (e simOrder) Len() int { return len(e) }
+func (e simOrder) Less(i, j int) bool {
 	if e[i].at.Equal(e[j].at) {
 		return e[i].order < e[j].order
 	}
 	return e[i].at.Before(e[j].at)
 }
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
+func (e simOrder) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simOrder) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simOrder) Pop() any {
 	x := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return x
@@ -126,9 +140,7 @@
 	s.take(s.engine.ServersChanged(s.now))
 }
 
-func (s *sim) at(d time.Duration, do func()) {
-	heap.Push(&s.events, simEvent{s.t0.Add(d), len(s.events), do})
-}
+func (s *sim) at(d time.Duration, do func()) { s.events.add(s.t0.Add(d), do) }
 
 // work carries out what the engine has asked for.
 func (s *sim) work() {
@@ -187,8 +199,8 @@
 	for d := time.Duration(0); d < simFor; d += time.Second / simRate {
 		s.at(d, func() { s.started[s.start(rt)] = s.now })
 	}
-	for len(s.events) > 0 {
-		next := s.events[0].at
+	for len(s.events.list) > 0 {
+		next := s.events.list[0].at
 		if due, ok := s.engine.Next(); ok && due.Before(next) {
 			if due.After(s.now) {
 				s.now = due
@@ -197,7 +209,7 @@
 			s.work()
 			continue
 		}
-		e := heap.Pop(&s.events).(simEvent)
+		e := s.events.next()
 		if e.at.After(s.now) {
 			s.now = e.at
 		}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -32,7 +32,7 @@
 	local    string
 
 	picture atomic.Pointer[route.Picture]
-	// age is when the store was known to hold nothing newer, in nanoseconds
+	// confirmed is when the store was known to hold nothing newer, in nanoseconds
 	// of the host's time; 0 is never.
 	confirmed atomic.Int64
 	live      atomic.Pointer[map[http1.Peer]bool]
--- a/internal/timers/timers.go
+++ b/internal/timers/timers.go
@@ -53,6 +53,12 @@
 	return h.list[0], h.list[0].Timer().at, true
 }
 
+// Due returns the item that is due first, if its time has come by now.
+func (h *Heap[T]) Due(now time.Time) (item T, ok bool) {
+	item, at, ok := h.First()
+	return item, ok && !now.Before(at)
+}
+
 // Len returns how many timers are set.
 func (h *Heap[T]) Len() int { return len(h.list) }
 
--- a/internal/timers/timers_test.go
+++ b/internal/timers/timers_test.go
@@ -39,3 +39,18 @@
 	is.Equal(at, now)
 	is.Equal(h.Len(), 1)
 }
+
+func TestDue(t *testing.T) {
+	is := is.New(t)
+	var h Heap[*thing]
+	now := time.Unix(1000, 0)
+	_, due := h.Due(now)
+	is.True(!due) // nothing is set
+	x := &thing{}
+	h.Set(x, now)
+	_, due = h.Due(now.Add(-1))
+	is.True(!due)
+	item, due := h.Due(now)
+	is.True(due)
+	is.Equal(item, x)
+}
--- a/policy/target.go
+++ b/policy/target.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// factorRise and factorFall are the parts of the way that the latency
-	// factor moves towards a new sample: a slow server is left early.
-	factorRise = 0.25
-	factorFall = 0.25
+	// factorStep is the part of the way that the latency factor moves towards
+	// a new sample.
+	factorStep = 0.25
 	// mostFactor bounds one sample, so that one pause does not hide what the
 	// server usually does.
 	mostFactor = 8
@@ -157,11 +156,7 @@
 	}
 	sample := min(float64(latency)/float64(usual), mostFactor)
 	factor := t.slowness(now)
-	part := factorFall
-	if sample > factor {
-		part = factorRise
-	}
-	t.factor = factor + part*(sample-factor)
+	t.factor = factor + factorStep*(sample-factor)
 	t.factorAt = now
 	if sample >= slowSample {
 		t.streak = min(t.streak+1, mostStreak)
--- a/query/engine.go
+++ b/query/engine.go
@@ -131,8 +131,8 @@
 // Tick does what is due.
 func (e *Engine) Tick(now time.Time) Actions {
 	for {
-		r, at, ok := e.timers.First()
-		if !ok || now.Before(at) {
+		r, due := e.timers.Due(now)
+		if !due {
 			break
 		}
 		r.tick(now)
