Logs and a counter tell whether servers' ends are held against a request

Attempts of one caller have different IDs: the request line now names the content, which they share. A host says when it finds, or hears of, a server crashed by a request, from whom and how old, and when its records are full. figmast_crashes_found_total counts what the host found itself.

No decision is changed.

--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -21,6 +21,8 @@
 	set       *metrics.Set
 	calls     map[forward.Outcome]*metrics.Counter
 	callTimes *metrics.Histogram
+	// crashes counts the servers that this host found crashed by a request.
+	crashes *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -29,6 +31,7 @@
 		c.calls[o] = c.set.NewCounter(fmt.Sprintf(`figmast_backend_calls_total{outcome=%q}`, name))
 	}
 	c.callTimes = c.set.NewHistogram("figmast_backend_call_duration_seconds")
+	c.crashes = c.set.NewCounter("figmast_crashes_found_total")
 	return c
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/http1"
+	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/route"
 )
 
@@ -45,6 +46,8 @@
 	status int
 	reason string
 	finish forward.Finish
+	// content is the request's fingerprint; all attempts of a caller share it.
+	content uint64
 }
 
 // ServeHTTP implements http.Handler.
@@ -115,9 +118,11 @@
 	}
 	f, ok := d.runner.run(r.Context(), q)
 	if !ok {
-		return outcome{reason: "the caller went away"}
+		return outcome{reason: "the caller went away", content: q.fingerprint}
 	}
-	return d.respond(w, f)
+	out := d.respond(w, f)
+	out.content = q.fingerprint
+	return out
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
@@ -244,6 +249,9 @@
 	if out.reason != "" {
 		fields = append(fields, "reason", out.reason)
 	}
+	if out.content != 0 && (out.reason != "" || len(out.finish.Trace) > 0) {
+		fields = append(fields, "content", news.FormatFingerprint(out.content))
+	}
 	if out.finish.Missing > 0 {
 		fields = append(fields, "missing", out.finish.Missing)
 	}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -164,6 +164,7 @@
 		}
 	}
 	for _, c := range a.Crashed {
+		r.counts.crashes.Inc()
 		go r.crashed(c.Fingerprint, c.Server)
 	}
 	if next, ok := r.engine.Next(); ok && (r.sleeps.IsZero() || next.Before(r.sleeps)) {
--- a/news/state.go
+++ b/news/state.go
@@ -48,7 +48,10 @@
 
 	members members
 	crashes map[Crash]time.Time
-	slow    map[string]slowSpan
+	// crashesFull is set once a report found no room.
+	crashesFull bool
+
+	slow map[string]slowSpan
 
 	picture *route.Picture
 	dirty   bool
@@ -133,7 +136,7 @@
 	case !u.Full && s.revision > 0:
 		s.delta(now, u.Items, u.Revision)
 	}
-	s.takeCrashes(now, u.Crashes)
+	s.takeCrashes(now, "upstream", u.Crashes)
 	s.TakeSlow(now, u.Slow)
 }
 
@@ -179,7 +182,7 @@
 // Answer returns what a poll calls for.
 func (s *State) Answer(now time.Time, p *Poll) *Update {
 	s.members.polled(now, p)
-	s.takeCrashes(now, p.Crashes)
+	s.takeCrashes(now, p.From.Address, p.Crashes)
 	s.TakeSlow(now, p.Slow)
 	u := s.News(now, p.Have)
 	u.Nonce = p.Nonce
