A server's end is held against the request that it ended under

Cause: a server's end was held against a request only if the same host made another call to that server within 500 ms that could not be sent. After a break the balancer avoids the server, so that the call is hardly ever made; a host with little traffic has none; a silent server gives no such failure.

Why this works: what ends under a call is now looked for, not met by chance. After a break the host looks whether the server still takes connections (one kept or one new connection, bounded); and it goes by what it hears anyway: another lifetime at the address (421), an entry that is gone or replaced though the server did not say that it leaves. Calls that no longer waited for an answer and calls in progress count where a server fell silent. A request that is answered elsewhere is not blamed: findings wait up to half a second for its other calls, and an answer anywhere clears it on all hosts. A connection that is merely not opened in time is no evidence any more.

--- a/forward/crashes_test.go
+++ b/forward/crashes_test.go
@@ -294,6 +294,13 @@
 	}
 	h.balancer.ApplyHosts(f.now, addresses, local)
 	h.engine.SetCrashes(h.state.Crashes(f.now))
+	reports := h.engine.TakeReports(f.now)
+	for _, x := range reports {
+		if x.Fingerprint == guilty && !x.Answered {
+			f.found++
+		}
+	}
+	h.state.TakeCrashes(f.now, reports)
 	if p, changed := h.state.Picture(f.now); changed {
 		h.balancer.ApplyPicture(f.now, p)
 		f.take(h, h.engine.ServersChanged(f.now))
@@ -301,11 +308,8 @@
 }
 
 func (f *crashFleet) take(h *crashHost, a Actions) {
-	for _, x := range a.Crashed {
-		if x.Fingerprint == guilty {
-			f.found++
-		}
-		h.state.ReportCrash(f.now, x.Fingerprint, x.Server)
+	for _, x := range a.Check {
+		f.events.add(f.now.Add(x.After+2*crashWay), func() { f.check(h, x.Target) })
 	}
 	for _, x := range a.Finish {
 		f.finish(h, x)
@@ -326,7 +330,7 @@
 	if r := h.requests[x.Run]; r == nil || r.fingerprint != guilty {
 		return
 	}
-	enough := func(o *crashHost) bool { return o.engine.crashes.count(guilty) >= crashesToRefuse }
+	enough := func(o *crashHost) bool { return o.engine.crashes.verdicts[guilty].Refused() }
 	switch {
 	case enough(h):
 		f.known++
@@ -335,6 +339,12 @@
 	}
 }
 
+// check plays a connection that is opened to see whether a server is there.
+func (f *crashFleet) check(h *crashHost, t *policy.Target) {
+	s := f.byPlace[t.Address]
+	f.take(h, h.engine.Checked(f.now, t, !s.up && !f.shape.silent))
+}
+
 func (f *crashFleet) giveUp(h *crashHost, id CallID) {
 	for _, s := range f.servers {
 		for _, c := range s.calls {
@@ -354,10 +364,10 @@
 		f.events.add(f.now.Add(crashDial), func() { f.end(c, Reply{Outcome: NotSent, Detail: "not sent: timed out"}) })
 		return
 	case !s.up:
-		f.later(c, Reply{Outcome: NotSent, Detail: "not sent: refused"})
+		f.later(c, Reply{Outcome: NotSent, Unreachable: true, Detail: "not sent: refused"})
 		return
 	case s.ID != c.send.Target.ID:
-		f.later(c, Reply{Outcome: NotRun, Status: 421, Detail: "not run, status 421"})
+		f.later(c, Reply{Outcome: NotRun, Status: 421, Moved: true, Detail: "not run, status 421"})
 		return
 	}
 	if c.guilty {
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -23,7 +23,7 @@
 	sends    []Send
 	cancels  []Cancel
 	finished map[RunID]Finish
-	crashed  []Crash
+	checks   []Check
 }
 
 // newWorld returns an engine with three servers for each service, one in each
@@ -51,7 +51,7 @@
 func (w *world) take(a Actions) {
 	w.sends = append(w.sends, a.Send...)
 	w.cancels = append(w.cancels, a.Cancel...)
-	w.crashed = append(w.crashed, a.Crashed...)
+	w.checks = append(w.checks, a.Check...)
 	for _, f := range a.Finish {
 		w.finished[f.Run] = f
 	}
@@ -342,29 +342,6 @@
 	w.is.Equal(counts["t"], 25)
 }
 
-func TestRequestsThatCrashServersAreRefused(t *testing.T) {
-	w := newWorld(t, "s")
-	w.start(single(true))
-	first := w.sends[0]
-	w.reply(first, Reply{Outcome: Broken})
-	w.reply(w.sends[1], ok("x"))
-	w.start(single(true))
-	for _, s := range w.sends[2:] {
-		if s.Target == first.Target {
-			w.reply(s, Reply{Outcome: NotSent})
-		}
-	}
-	// A later call finds the server gone: the request is blamed.
-	c := &call{id: 99, part: &part{run: &run{req: Request{Fingerprint: 8}}}, target: first.Target, record: &policy.Call{}}
-	w.engine.crashes.observe(w.engine, w.now, c, Reply{Outcome: NotSent})
-	w.take(w.engine.take())
-	w.is.True(len(w.crashed) >= 1)
-	w.is.Equal(w.crashed[0].Fingerprint, uint64(7))
-	w.engine.SetCrashes(map[uint64]int{7: crashesToRefuse})
-	id := w.start(single(true))
-	w.is.Equal(w.finished[id].Verdict, Refused)
-}
-
 // TestBurst plays the load of a burst: three times what the servers can do,
 // for two seconds. Every request gets a final answer, no refused one has run,
 // and at least four fifths of what can be served within the objective is.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -57,6 +57,10 @@
 	// Status is the answer's, OK whether it is a success.
 	Status int
 	OK     bool
+	// Moved is set where another server stands at the address, Unreachable
+	// where it refuses connections.
+	Moved       bool
+	Unreachable bool
 	// Signature and Body are the answer's, as far as a gather route merges it.
 	Signature string
 	Body      []byte
@@ -121,14 +125,7 @@
 	Send   []Send
 	Cancel []Cancel
 	Finish []Finish
-	// Crashed are servers that were gone right after a request ran on them.
-	Crashed []Crash
-}
-
-// Crash is a request that a backend server did not survive.
-type Crash struct {
-	Fingerprint uint64
-	Server      string
+	Check  []Check
 }
 
 // Options configure an Engine.
@@ -237,8 +234,9 @@
 // Running returns how many requests are in progress.
 func (e *Engine) Running() int { return len(e.runs) }
 
-// ServersChanged serves waiting requests after a change of the servers.
+// ServersChanged takes in a change of the servers and serves waiting requests.
 func (e *Engine) ServersChanged(now time.Time) Actions {
+	e.crashes.serversChanged(e, now)
 	for _, s := range e.services {
 		s.serve(now)
 	}
@@ -259,6 +257,9 @@
 		e.record(c.part.run.req.Route).observe(now, c, reply)
 	}
 	e.opts.Balancer.Done(now, c.record, result)
+	if reply.Outcome == Broken {
+		c.part.run.broken++
+	}
 	e.crashes.observe(e, now, c, reply)
 	if c.wanted {
 		c.wanted = false
--- a/forward/part.go
+++ b/forward/part.go
@@ -25,6 +25,8 @@
 	// sent counts calls, ran those that a server may have run.
 	sent int
 	ran  int
+	// answered is set once a server has answered, whatever the answer.
+	answered bool
 	// spareAt is when a second server may be asked; it is zero while none may.
 	spareAt time.Time
 	// waiting is set while the part waits for a server, since that time.
@@ -46,6 +48,8 @@
 	record *policy.Call
 	// wanted is set while the part wants the result.
 	wanted bool
+	// lost is set once the server is known to be gone.
+	lost bool
 }
 
 const (
--- a/forward/run.go
+++ b/forward/run.go
@@ -29,11 +29,19 @@
 	began  time.Time
 	// objective is when an answer must leave to have its full worth.
 	objective time.Time
-	// unsure counts calls that a server may have run.
+	// unsure counts calls that a server may have run, broken those that broke
+	// off.
 	unsure int
-	trace  []string
-	timer  timers.Timer
-	done   bool
+	broken int
+	// checks counts the servers looked at after calls that broke off.
+	checks int
+	// answered is a server that answered, reported is set once a crash is held
+	// against the request.
+	answered *policy.Target
+	reported bool
+	trace    []string
+	timer    timers.Timer
+	done     bool
 }
 
 // maxTrace bounds what is noted of one request.
@@ -57,8 +65,8 @@
 
 // begin sends the first calls, or refuses the request.
 func (r *run) begin(now time.Time) {
-	if n := r.engine.crashes.count(r.req.Fingerprint); n >= crashesToRefuse {
-		r.refuse(now, fmt.Sprintf("the request has crashed %d servers", n), crashRetryAfter)
+	if v := r.engine.crashes.verdicts[r.req.Fingerprint]; v.Refused() {
+		r.refuse(now, fmt.Sprintf("the request has crashed %d servers", v.Crashed), crashRetryAfter)
 		return
 	}
 	services := r.req.Route.Gather
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
 )
 
@@ -21,8 +22,10 @@
 	set       *metrics.Set
 	calls     map[forward.Outcome]*metrics.Counter
 	callTimes *metrics.Histogram
-	// crashes counts the servers that this host found crashed by a request.
-	crashes *metrics.Counter
+	// crashes counts the servers that this host found crashed by a request;
+	// refusing and taking count the servers looked at after a broken call.
+	crashes          *metrics.Counter
+	refusing, taking *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -32,6 +35,8 @@
 	}
 	c.callTimes = c.set.NewHistogram("figmast_backend_call_duration_seconds")
 	c.crashes = c.set.NewCounter("figmast_crashes_found_total")
+	c.refusing = c.set.NewCounter(`figmast_server_checks_total{result="refuses"}`)
+	c.taking = c.set.NewCounter(`figmast_server_checks_total{result="takes connections"}`)
 	return c
 }
 
@@ -40,6 +45,22 @@
 	c.callTimes.Update(took.Seconds())
 }
 
+func (c *counters) reports(list []crash.Report) {
+	for _, p := range list {
+		if !p.Answered {
+			c.crashes.Inc()
+		}
+	}
+}
+
+func (c *counters) checked(refuses bool) {
+	if refuses {
+		c.refusing.Inc()
+		return
+	}
+	c.taking.Inc()
+}
+
 func (c *counters) request(route string, status int, took time.Duration) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`figmast_requests_total{route=%q,status="%d"}`, route, status)).Inc()
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`figmast_request_duration_seconds{route=%q}`, route)).Update(took.Seconds())
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/news"
@@ -37,6 +38,7 @@
 	heads   []string
 	bodies  []string
 	closed  chan struct{}
+	end     func()
 }
 
 func newBackend(t *testing.T) *backend {
@@ -45,7 +47,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	b := &backend{address: l.Addr().String(), closed: make(chan struct{}, 16)}
+	b := &backend{address: l.Addr().String(), closed: make(chan struct{}, 16), end: func() { _ = l.Close() }}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -81,6 +83,9 @@
 				b.closed <- struct{}{}
 				return
 			}
+		case strings.Contains(target, "crash"):
+			b.end()
+			return
 		case strings.Contains(target, "busy"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
@@ -123,7 +128,6 @@
 	t.Cleanup(lines.Close)
 	counts := newCounters()
 	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, Processor: 1}), counts)
-	r.crashed = func(uint64, string) {}
 	r.begin()
 	t.Cleanup(r.end)
 	d := &testDoor{door: &door{runner: r, headers: testHeaders, log: logger, counts: counts}}
@@ -304,6 +308,30 @@
 	}
 }
 
+// TestServerThatEndsUnderARequestIsReported plays a server whose process ends
+// when it gets the request.
+func TestServerThatEndsUnderARequestIsReported(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	resp, _ := d.send(t, "POST /p/crash"+get+"Content-Length: 0\r\n\r\n")
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.True(resp.Header.Get("Retry-After") != "")
+	var reports []crash.Report
+	for end := time.Now().Add(2 * time.Second); len(reports) == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		reports = d.runner.believe(feed.Belief{Hosts: []news.Host{{Address: "127.0.0.1", DataCentre: "a"}}, Known: true}).Crashes
+	}
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].Server, "i-1")
+	is.Equal(reports[0].Service, "s")
+	f := reports[0].Fingerprint
+	d.runner.believe(feed.Belief{Crashes: map[uint64]crash.Verdict{f: {Crashed: crash.Refuse}}})
+	resp, body := d.send(t, "POST /p/crash"+get+"Content-Length: 0\r\n\r\n")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(strings.Contains(body, "has crashed 3 servers"))
+	is.True(resp.Header.Get("Retry-After") != "")
+}
+
 // TestLogLines are dropped, counted, and never block.
 func TestLogLines(t *testing.T) {
 	is := is.New(t)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -117,7 +117,7 @@
 	case http1.Done:
 		return r.answered(a)
 	case http1.NotSent:
-		return forward.Reply{Outcome: forward.NotSent, Detail: detail("not sent", err)}
+		return forward.Reply{Outcome: forward.NotSent, Unreachable: http1.Refused(err), Detail: detail("not sent", err)}
 	case http1.TimedOut:
 		return forward.Reply{Outcome: forward.TimedOut, Detail: "timed out"}
 	case http1.GivenUp:
@@ -142,7 +142,7 @@
 func (r *runner) answered(a *http1.Answer) forward.Reply {
 	refused := a.Header.Get(r.headers.NotRun) != "" && slices.Contains(promises, a.Status)
 	if refused || a.Status == http.StatusMisdirectedRequest {
-		return forward.Reply{Outcome: forward.NotRun, Status: a.Status, Detail: "not run, status " + strconv.Itoa(a.Status)}
+		return forward.Reply{Outcome: forward.NotRun, Status: a.Status, Moved: a.Status == http.StatusMisdirectedRequest, Detail: "not run, status " + strconv.Itoa(a.Status)}
 	}
 	signature := a.Header.Get(r.headers.Signature)
 	ok := a.Status >= 200 && a.Status < 300 && signature != ""
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,7 +90,6 @@
 	if err != nil {
 		return nil, err
 	}
-	g.runner.crashed = g.feed.ReportCrash
 	g.gauges()
 	return g, nil
 }
@@ -111,12 +110,12 @@
 }
 
 // believe takes in what is published.
-func (g *Gateway) believe(b feed.Belief) []news.Slow {
-	slow := g.runner.believe(b)
+func (g *Gateway) believe(b feed.Belief) feed.Seen {
+	seen := g.runner.believe(b)
 	if b.Picture != nil && b.Picture.Config != nil {
 		g.callers.limit(b.Picture.Config.Limits)
 	}
-	return slow
+	return seen
 }
 
 // Start opens the listeners and begins to read what is published.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,9 +13,9 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/http1"
-	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/route"
 )
 
@@ -250,7 +250,7 @@
 		fields = append(fields, "reason", out.reason)
 	}
 	if out.content != 0 && (out.reason != "" || len(out.finish.Trace) > 0) {
-		fields = append(fields, "content", news.FormatFingerprint(out.content))
+		fields = append(fields, "content", crash.FormatFingerprint(out.content))
 	}
 	if out.finish.Missing > 0 {
 		fields = append(fields, "missing", out.finish.Missing)
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -19,8 +19,6 @@
 	now     func() time.Time
 	pool    *http1.Pool
 	headers Headers
-	// crashed is told of requests that servers did not survive.
-	crashed func(fingerprint uint64, server string)
 	counts  *counters
 
 	mu       sync.Mutex
@@ -59,9 +57,9 @@
 	return r
 }
 
-// believe puts what is published in force and returns the slow calls seen since
-// the last time.
-func (r *runner) believe(b feed.Belief) []news.Slow {
+// believe puts what is published in force and returns what was seen since the
+// last time.
+func (r *runner) believe(b feed.Belief) feed.Seen {
 	if b.Known {
 		r.confirmed.Store(r.now().Add(-b.Age).UnixNano())
 	}
@@ -82,13 +80,14 @@
 	if b.Picture != nil {
 		r.apply(now, b.Picture)
 	}
-	var slow []news.Slow
+	seen := feed.Seen{Crashes: r.engine.TakeReports(now)}
+	r.counts.reports(seen.Crashes)
 	for _, s := range r.balancer.TakeSlow() {
-		slow = append(slow, news.Slow{
+		seen.Slow = append(seen.Slow, news.Slow{
 			Server: s.Server, FirstMs: now.Sub(s.From).Milliseconds(), LastMs: now.Sub(s.To).Milliseconds(),
 		})
 	}
-	return slow
+	return seen
 }
 
 // apply puts a picture in force; the lock is held.
@@ -163,9 +162,9 @@
 			delete(r.requests, f.Run)
 		}
 	}
-	for _, c := range a.Crashed {
-		r.counts.crashes.Inc()
-		go r.crashed(c.Fingerprint, c.Server)
+	for _, c := range a.Check {
+		r.done.Add(1)
+		go r.check(c)
 	}
 	if next, ok := r.engine.Next(); ok && (r.sleeps.IsZero() || next.Before(r.sleeps)) {
 		select {
@@ -194,6 +193,21 @@
 	r.act(r.engine.Reply(r.now(), s.Call, reply))
 }
 
+// check looks whether a server refuses connections and tells the engine.
+func (r *runner) check(c forward.Check) {
+	defer r.done.Done()
+	select {
+	case <-time.After(c.After):
+	case <-r.stop:
+		return
+	}
+	refuses := r.pool.Refuses(peerOf(c.Target.Server), c.Target.KeepIdle())
+	r.counts.checked(refuses)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.act(r.engine.Checked(r.now(), c.Target, refuses))
+}
+
 // timer ticks the engine when something is due.
 func (r *runner) timer() {
 	defer r.done.Done()
--- a/http1/call_test.go
+++ b/http1/call_test.go
@@ -237,3 +237,23 @@
 		}
 	})
 }
+
+func TestRefusesTellsAServerThatHasEnded(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	peer := Peer{Name: "s", Address: l.Addr().String()}
+	p := NewPool(Options{RequestID: "X-Id", Now: time.Now})
+	is.True(!p.Refuses(peer, time.Second))
+	is.Equal(p.Open(), 1) // the connection is kept for the next call
+	is.True(!p.Refuses(peer, time.Second))
+	is.Equal(p.Open(), 1)
+	kept, err := l.Accept()
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	is.True(!p.Refuses(peer, time.Second)) // the kept connection is open
+	is.NoErr(kept.Close())
+	time.Sleep(20 * time.Millisecond)
+	is.True(p.Refuses(peer, time.Second))
+	is.Equal(p.Open(), 0)
+}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -107,8 +107,13 @@
 	return c
 }
 
+// put keeps a connection that has just been used.
 func (p *Pool) put(c *conn) {
 	c.used = p.opts.Now()
+	p.keep(c)
+}
+
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[c.peer] = append(p.idle[c.peer], c)
@@ -170,6 +175,25 @@
 	return &conn{TCPConn: tcp, peer: peer, r: bufio.NewReaderSize(tcp, readBuffer), limit: idleFor}, nil
 }
 
+// Refuses reports whether nothing takes connections at a server's address. It
+// opens a connection only where none is kept that is still open, and keeps it
+// for that long.
+func (p *Pool) Refuses(peer Peer, keepIdle time.Duration) bool {
+	c := p.take(peer, idleFor)
+	if c == nil {
+		var err error
+		if c, err = p.dial(context.Background(), peer); err != nil {
+			return Refused(err)
+		}
+		c.limit, c.used = min(c.limit, keepIdle), p.opts.Now()
+	}
+	p.keep(c)
+	return false
+}
+
+// Refused reports whether an error says that nothing listens at the address.
+func Refused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
+
 // quiet reports whether the connection is open and nothing has arrived on it.
 func (c *conn) quiet() bool {
 	if c.r.Buffered() > 0 {
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -14,7 +14,7 @@
 )
 
 // pure lists the packages that hold decisions.
-var pure = []string{"command", "control", "decision", "document", "forward", "leafcall", "news", "policy", "query", "route", "view"}
+var pure = []string{"command", "control", "crash", "decision", "document", "forward", "leafcall", "news", "policy", "query", "route", "view"}
 
 // forbidden imports, whole; a name with a dot forbids one function.
 var forbidden = []string{
--- a/news/crashes.go
+++ b/news/crashes.go
@@ -1,72 +1,29 @@
 package news
 
 import (
-	"strconv"
 	"time"
-)
 
-const (
-	// crashFor is how long a report is passed on; requests that crash servers
-	// come again within seconds.
-	crashFor = 60 * time.Second
-	// maxCrashes bounds the reports kept, so that a message stays small.
-	maxCrashes = 128
+	"github.com/figmast/figmast/crash"
 )
 
-// ReportCrash takes in what this host has found.
-func (s *State) ReportCrash(now time.Time, fingerprint uint64, server string) {
-	s.takeCrashes(now, "this host", []Crash{{Fingerprint: fingerprint, Server: server}})
+// TakeCrashes takes in what this host has found of requests that crash servers.
+func (s *State) TakeCrashes(now time.Time, list []crash.Report) {
+	s.takeCrashes(now, "this host", list)
 }
 
 // takeCrashes takes in reports from this host or from another one.
-func (s *State) takeCrashes(now time.Time, from string, list []Crash) {
-	for _, c := range list {
-		age := time.Duration(c.AgeMs) * time.Millisecond
-		at := now.Add(-age)
-		c.AgeMs = 0
-		old, known := s.crashes[c]
-		switch {
-		case known && !at.After(old) || age > crashFor:
-			continue
-		case len(s.crashes) >= maxCrashes:
-			if !s.crashesFull {
-				s.logCrash("crash reports left out", c, from, age)
-			}
-			s.crashesFull = true
+func (s *State) takeCrashes(now time.Time, from string, list []crash.Report) {
+	for _, p := range list {
+		if !s.crashes.Take(now, p) {
 			continue
-		case !known:
-			s.logCrash("server crashed by a request", c, from, age)
 		}
-		s.crashes[c] = at
-	}
-}
-
-func (s *State) logCrash(event string, c Crash, from string, age time.Duration) {
-	s.opts.Log(event, "content", FormatFingerprint(c.Fingerprint), "server", c.Server, "from", from, "age_ms", age.Milliseconds(), "reports", len(s.crashes))
-}
-
-// FormatFingerprint returns a request's fingerprint as logs name it.
-func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
-
-func (s *State) crashNotes(now time.Time) []Crash {
-	var out []Crash
-	for c, at := range s.crashes {
-		if now.Sub(at) > crashFor {
-			delete(s.crashes, c)
-			s.crashesFull = false
-			continue
+		event := "server crashed by a request"
+		if p.Answered {
+			event = "suspected request answered"
 		}
-		c.AgeMs = now.Sub(at).Milliseconds()
-		out = append(out, c)
+		s.opts.Log(event, "content", crash.FormatFingerprint(p.Fingerprint), "service", p.Service, "server", p.Server, "from", from, "age_ms", p.AgeMs)
 	}
-	return out
 }
 
-// Crashes returns the servers that each request has crashed, fleet-wide.
-func (s *State) Crashes(now time.Time) map[uint64]int {
-	out := make(map[uint64]int)
-	for _, c := range s.crashNotes(now) {
-		out[c.Fingerprint]++
-	}
-	return out
-}
+// Crashes returns what the reports of all hosts come to.
+func (s *State) Crashes(now time.Time) map[uint64]crash.Verdict { return s.crashes.Verdicts(now) }
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/route"
 )
@@ -38,9 +39,9 @@
 	Clock func() time.Time
 	// Log is told of dependencies lost and regained.
 	Log func(event string, fields ...any)
-	// Changed gets what is believed from now on and returns the slow calls
-	// that the host has seen since the last time. It must not block.
-	Changed func(Belief) []news.Slow
+	// Changed gets what is believed from now on and returns what the host has
+	// seen since the last time. It must not block.
+	Changed func(Belief) Seen
 }
 
 // Belief is what the host goes by.
@@ -48,8 +49,8 @@
 	// Picture is nil when only the rest has changed.
 	Picture *route.Picture
 	Hosts   []news.Host
-	// Crashes counts the servers that each request has crashed.
-	Crashes map[uint64]int
+	// Crashes is what the hosts together hold against requests.
+	Crashes map[uint64]crash.Verdict
 	// Slow are the servers that the hosts together find slow.
 	Slow map[string]bool
 	// Age is how long ago the store was known to hold nothing newer; Known is
@@ -58,6 +59,12 @@
 	Known bool
 }
 
+// Seen is what a host tells the others of its calls.
+type Seen struct {
+	Slow    []news.Slow
+	Crashes []crash.Report
+}
+
 const (
 	// tickEvery is how often the State is looked at without an event; it is
 	// small against the least bound of 3 s.
@@ -128,11 +135,6 @@
 	}
 }
 
-// ReportCrash takes in a request that a backend server did not survive.
-func (f *Feed) ReportCrash(fingerprint uint64, server string) {
-	f.post(func(now time.Time) { f.opts.State.ReportCrash(now, fingerprint, server) })
-}
-
 func (f *Feed) run() {
 	defer f.closed.Done()
 	ticker := time.NewTicker(tickEvery)
@@ -165,7 +167,9 @@
 	if changed {
 		b.Picture = picture
 	}
-	s.TakeSlow(now, f.opts.Changed(b))
+	seen := f.opts.Changed(b)
+	s.TakeSlow(now, seen.Slow)
+	s.TakeCrashes(now, seen.Crashes)
 	f.push(now)
 }
 
--- a/news/news.go
+++ b/news/news.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/route"
 )
 
@@ -50,8 +51,8 @@
 	// Have is the revision that the asking host has.
 	Have int64 `cbor:"3,keyasint"`
 	// Known is the hash of the members that it last got from the other host.
-	Known   uint64  `cbor:"4,keyasint"`
-	Crashes []Crash `cbor:"5,keyasint,omitempty"`
+	Known   uint64         `cbor:"4,keyasint"`
+	Crashes []crash.Report `cbor:"5,keyasint,omitempty"`
 	// Below are the hosts that ask it, when they have changed.
 	Below []Note `cbor:"6,keyasint,omitempty"`
 	// Push asks for news as they come.
@@ -70,8 +71,8 @@
 	Full  bool   `cbor:"4,keyasint,omitempty"`
 	Items []Item `cbor:"5,keyasint,omitempty"`
 	// Members is empty when the asking host knows the same.
-	Members []Note  `cbor:"6,keyasint,omitempty"`
-	Crashes []Crash `cbor:"7,keyasint,omitempty"`
+	Members []Note         `cbor:"6,keyasint,omitempty"`
+	Crashes []crash.Report `cbor:"7,keyasint,omitempty"`
 	// Below is the hash of the hosts that the other one said ask it.
 	Below uint64 `cbor:"8,keyasint,omitempty"`
 	Slow  []Slow `cbor:"9,keyasint,omitempty"`
@@ -86,13 +87,6 @@
 	Strength int `cbor:"3,keyasint,omitempty"`
 }
 
-// Crash reports that a request ran on a backend server which then was gone.
-type Crash struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	Server      string `cbor:"2,keyasint"`
-	AgeMs       int64  `cbor:"3,keyasint"`
-}
-
 // Slow reports when calls were sent to a server that took long.
 type Slow struct {
 	Server string `cbor:"1,keyasint"`
--- a/news/state.go
+++ b/news/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/route"
 )
 
@@ -47,11 +48,8 @@
 	returned time.Time
 
 	members members
-	crashes map[Crash]time.Time
-	// crashesFull is set once a report found no room.
-	crashesFull bool
-
-	slow map[string]slowSpan
+	crashes *crash.Record
+	slow    map[string]slowSpan
 
 	picture *route.Picture
 	dirty   bool
@@ -87,7 +85,7 @@
 	}
 	s := &State{
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
-		crashes: make(map[Crash]time.Time), slow: make(map[string]slowSpan),
+		crashes: crash.NewRecord(), slow: make(map[string]slowSpan),
 	}
 	s.members = newMembers(now, opts)
 	return s
@@ -195,7 +193,7 @@
 
 // News returns what has changed after a revision.
 func (s *State) News(now time.Time, have int64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Crashes: s.crashNotes(now), Slow: s.slowNotes(now)}
+	u := &Update{Revision: s.revision, AgeMs: -1, Crashes: s.crashes.Reports(now), Slow: s.slowNotes(now)}
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
 	}
@@ -210,7 +208,7 @@
 
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashNotes(now), Slow: s.slowNotes(now), Push: push}
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashes.Reports(now), Slow: s.slowNotes(now), Push: push}
 	m := &s.members
 	m.lapse(now)
 	if m.later(now, address) {
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/route"
 )
 
@@ -358,12 +359,12 @@
 	i := 0
 	for _, h := range f.hosts {
 		if i++; i <= 3 {
-			h.state.ReportCrash(f.now, 42, fmt.Sprintf("server-%d", i))
+			h.state.TakeCrashes(f.now, []crash.Report{{Fingerprint: 42, Service: "s", Server: fmt.Sprintf("server-%d", i)}})
 		}
 	}
 	f.run(3 * time.Second) // within the 4 s of the platform's bound
 	for _, h := range f.hosts {
-		is.Equal(h.state.Crashes(f.now)[42], 3)
+		is.Equal(h.state.Crashes(f.now)[42].Crashed, 3)
 	}
 }
 
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -95,7 +95,7 @@
 	}
 	for key, t := range b.byKey {
 		if !seen[key] {
-			t.out = true
+			t.out, t.gone = true, true
 			delete(b.byKey, key)
 		}
 	}
--- a/policy/target.go
+++ b/policy/target.go
@@ -46,8 +46,9 @@
 	pool  *targets
 	hash  uint64
 	local bool
-	// out targets get no new calls.
-	out bool
+	// out targets get no new calls, gone ones are no longer published.
+	out  bool
+	gone bool
 	// other targets are away and not the one that this host prefers.
 	other bool
 	// limit is how many calls this host may have in flight to it; scarce is
@@ -105,6 +106,12 @@
 	return awayIdle
 }
 
+// Gone reports whether the server's entry is gone.
+func (t *Target) Gone() bool { return t.gone }
+
+// InFlight returns how many calls this host has in flight to the server.
+func (t *Target) InFlight() int { return len(t.calls) }
+
 // overdue reports whether a call has taken so long that the server seems to be
 // stuck.
 func (t *Target) overdue(now time.Time) bool {
