A request that crashed servers is not forgotten while its caller goes on

Callers saw: after a minute the request was let in again at every host, and crashed three servers and more before it was refused once more. With 128 reports on record, as after a mass crash, it was not refused at all.

Cause: reports were dropped 60 s after the crash, and a full record took nothing new. Both are bounds that forget the wrong thing: age and order of arrival, not what is held against the request.

Records are bounded by requests and by servers of one; what goes first is what crashed a server longest ago and is not refused. Retry-After tells how long the refusal still lasts. The whole-path test also bounds the other requests that are refused by mistake now.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -32,10 +32,12 @@
 	// Crashed is how many servers ended under the request and nothing speaks
 	// for it.
 	Crashed int
+	// RefusedFor is how much longer this host refuses the request; 0 is not.
+	RefusedFor time.Duration
 }
 
 // Refused reports whether the request is refused.
-func (v Verdict) Refused() bool { return v.Crashed >= Refuse }
+func (v Verdict) Refused() bool { return v.RefusedFor > 0 }
 
 // FormatFingerprint returns a request's fingerprint as logs name it.
 func FormatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
@@ -59,6 +61,63 @@
 	return &history{crashed: make(map[lifetime]time.Time), answered: make(map[string]time.Time)}
 }
 
+// takeAnswer notes an answer of a service and reports whether it is news.
+func (h *history) takeAnswer(service string, at time.Time) bool {
+	if old, known := h.answered[service]; known && at.Sub(old) < answerStep {
+		return false
+	}
+	h.answered[service] = at
+	return true
+}
+
+// takeCrash notes a crash and reports whether it is news. The latest are kept.
+func (h *history) takeCrash(l lifetime, at time.Time) bool {
+	if _, known := h.crashed[l]; known {
+		return false
+	}
+	if len(h.crashed) >= maxServers {
+		var oldest lifetime
+		first := at
+		for o, t := range h.crashed {
+			if t.Before(first) {
+				oldest, first = o, t
+			}
+		}
+		if first.Equal(at) {
+			return false
+		}
+		delete(h.crashed, oldest)
+	}
+	h.crashed[l] = at
+	return true
+}
+
+// last returns when the last server ended under the request.
+func (h *history) last() time.Time {
+	var last time.Time
+	for _, at := range h.crashed {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// enough reports whether the servers that ended suffice for a refusal.
+func (h *history) enough() bool { return len(h.crashed) >= Refuse }
+
+// compare has requests that are or were refused after all others, then those
+// that crashed a server last.
+func (h *history) compare(o *history) int {
+	switch {
+	case h.enough() != o.enough() && o.enough():
+		return -1
+	case h.enough() != o.enough():
+		return 1
+	}
+	return h.last().Compare(o.last())
+}
+
 // standing returns when servers ended under the request, without those for
 // which something else accounts. A service that has answered the request since
 // survives it, and one request that other services answer does not crash every
--- a/crash/record_test.go
+++ b/crash/record_test.go
@@ -1,10 +1,12 @@
 package crash
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 var epoch = time.Unix(1000, 0)
@@ -42,11 +44,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := NewRecord()
+			r := NewRecord("10.0.0.1")
 			play(r, 7, c.list)
 			now := epoch.Add(10 * time.Millisecond)
 			is.Equal(r.Verdicts(now)[7].Crashed, c.crashed)
-			other := NewRecord() // as another host hears of it
+			other := NewRecord("10.0.0.1") // as another host hears of it
 			for _, p := range r.Reports(now) {
 				other.Take(now, p)
 			}
@@ -54,3 +56,113 @@
 		})
 	}
 }
+
+// crashes reports servers that end under a request, one each second from then
+// on.
+func crashes(r *Record, fingerprint uint64, from time.Duration, n int) {
+	for i := range n {
+		at := epoch.Add(from + time.Duration(i)*time.Second)
+		r.Take(at, Report{Fingerprint: fingerprint, Service: "s", Server: strconv.Itoa(int(from) + i)})
+	}
+}
+
+// TestRequestThatGoesOnCrashingIsRefusedForLonger plays a request that comes
+// all day and crashes a server whenever it is let in. The users' rule allows
+// three calls after the third crash.
+func TestRequestThatGoesOnCrashingIsRefusedForLonger(t *testing.T) {
+	is := is.New(t)
+	r := NewRecord("10.0.0.1")
+	crashes(r, 7, 0, Refuse)
+	late := 0
+	for at := 3 * time.Second; at < 24*time.Hour; at += 5 * time.Second {
+		v := r.Verdicts(epoch.Add(at))[7]
+		if v.Refused() {
+			continue
+		}
+		late++
+		crashes(r, 7, at, 1)
+	}
+	is.True(late > 0) // a request that no longer crashes servers is let in
+	is.True(late <= 3)
+}
+
+// TestRequestThatNoLongerCrashesIsLetIn plays servers that were mended.
+func TestRequestThatNoLongerCrashesIsLetIn(t *testing.T) {
+	is := is.New(t)
+	r := NewRecord("10.0.0.1")
+	crashes(r, 7, 0, Refuse)
+	is.True(r.Verdicts(epoch.Add(firstRefusal))[7].Refused())
+	after := epoch.Add(2*firstRefusal + Refuse*time.Second)
+	is.True(!r.Verdicts(after)[7].Refused())
+	r.Take(after, Report{Fingerprint: 7, Service: "s", Answered: true})
+	is.Equal(len(r.Verdicts(after)), 0)
+}
+
+// TestHostsLetARequestInOneAfterTheOther keeps all of them from trying it
+// before the first one's finding has spread.
+func TestHostsLetARequestInOneAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	first, last := time.Hour, time.Duration(0)
+	for i := range 9 {
+		r := NewRecord("10.0.0." + strconv.Itoa(i))
+		crashes(r, 7, 0, Refuse)
+		d := r.Verdicts(epoch)[7].RefusedFor
+		first, last = min(first, d), max(last, d)
+	}
+	is.True(first >= firstRefusal)
+	is.True(last-first > firstRefusal/2)
+}
+
+// TestRecordsFullOfOthersTakeTheRequestAtFault plays a mass crash: many
+// requests each with a server that ended under them, just before the one at
+// fault comes.
+func TestRecordsFullOfOthersTakeTheRequestAtFault(t *testing.T) {
+	is := is.New(t)
+	r := NewRecord("10.0.0.1")
+	for f := range uint64(2 * maxRequests) {
+		crashes(r, 1000+f, 0, 2)
+	}
+	crashes(r, 7, time.Second, Refuse)
+	is.True(r.Verdicts(epoch.Add(4 * time.Second))[7].Refused())
+	is.True(len(r.Reports(epoch.Add(4*time.Second))) <= maxRequests*maxServers)
+	for f := range uint64(2 * maxRequests) { // and more of them do not push it out
+		crashes(r, 5000+f, 2*time.Second, 2)
+	}
+	is.True(r.Verdicts(epoch.Add(4 * time.Second))[7].Refused())
+}
+
+// TestHostsThatHaveHeardTheSameAgree has reports reach two hosts in any order.
+func TestHostsThatHaveHeardTheSameAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Report {
+			return Report{
+				Fingerprint: rapid.Uint64Range(1, 4).Draw(t, "request"),
+				Service:     rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"),
+				Server:      rapid.SampledFrom([]string{"1", "2", "3", "4", "5", "6"}).Draw(t, "server"),
+				AgeMs:       1000 * rapid.Int64Range(0, 60).Draw(t, "age"),
+			}
+		}), 0, 30).Draw(t, "reports")
+		seen := make(map[lifetime]bool)
+		var list []Report
+		for _, p := range all {
+			l := lifetime{p.Service, p.Server, int64(p.Fingerprint)}
+			if !seen[l] { // a lifetime ends once
+				list = append(list, p)
+			}
+			seen[l] = true
+		}
+		a, b := NewRecord("10.0.0.1"), NewRecord("10.0.0.1")
+		for _, p := range list {
+			a.Take(epoch, p)
+		}
+		for _, p := range rapid.Permutation(list).Draw(t, "order") {
+			b.Take(epoch, p)
+		}
+		va, vb := a.Verdicts(epoch), b.Verdicts(epoch)
+		for f := range va {
+			if va[f].Refused() != vb[f].Refused() {
+				t.Fatalf("request %d: %v and %v", f, va[f], vb[f])
+			}
+		}
+	})
+}
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// crashRetryAfter tells a caller of a request that crashes servers to stay
-	// away.
-	crashRetryAfter = 5 * time.Second
 	// unansweredFor is how long a call that ended without an answer is
 	// remembered: a silent server's entry lapses after three heartbeats of up to
 	// 1.2 s, and that takes up to a second to become known.
--- a/forward/crashes_test.go
+++ b/forward/crashes_test.go
@@ -33,7 +33,11 @@
 	// mostLate is how often the request may reach servers later than
 	// crashContact after the third crash: the platform's rule.
 	mostLate = 3
-	guilty   = 7
+	// mostWronged and wrongedPart bound the other requests that are refused as
+	// if they crashed servers: as the platform bounds refusals without cause.
+	mostWronged = 5
+	wrongedPart = 500
+	guilty      = 7
 )
 
 // crashShape is what a crash fleet plays.
@@ -569,6 +573,9 @@
 			f.play()
 			t.Logf("%d arrivals, %d crashes, %d found; sent %d times by hosts that knew, %d while others knew; %d refused; of %d others %d served, %d taken for it",
 				len(f.arrivals), len(f.crashes), f.found, f.known, f.elsewhere, f.refused, f.others, f.served, f.wronged)
+			if f.wronged > mostWronged+f.others/wrongedPart {
+				t.Errorf("%d other requests of %d are refused as if they crashed servers", f.wronged, f.others)
+			}
 			if got := f.late(); got > mostLate {
 				t.Errorf("%d arrivals later than %v after the third crash, more than %d", got, crashContact, mostLate)
 			}
--- a/forward/run.go
+++ b/forward/run.go
@@ -66,7 +66,7 @@
 // begin sends the first calls, or refuses the request.
 func (r *run) begin(now time.Time) {
 	if v := r.engine.crashes.verdicts[r.req.Fingerprint]; v.Refused() {
-		r.refuse(now, fmt.Sprintf("the request has crashed %d servers", v.Crashed), crashRetryAfter)
+		r.refuse(now, fmt.Sprintf("the request has crashed %d servers", v.Crashed), v.RefusedFor)
 		return
 	}
 	services := r.req.Route.Gather
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -325,7 +325,7 @@
 	is.Equal(reports[0].Server, "i-1")
 	is.Equal(reports[0].Service, "s")
 	f := reports[0].Fingerprint
-	d.runner.believe(feed.Belief{Crashes: map[uint64]crash.Verdict{f: {Crashed: crash.Refuse}}})
+	d.runner.believe(feed.Belief{Crashes: map[uint64]crash.Verdict{f: {Crashed: crash.Refuse, RefusedFor: time.Minute}}})
 	resp, body := d.send(t, "POST /p/crash"+get+"Content-Length: 0\r\n\r\n")
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.True(strings.Contains(body, "has crashed 3 servers"))
--- a/news/state.go
+++ b/news/state.go
@@ -85,7 +85,7 @@
 	}
 	s := &State{
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
-		crashes: crash.NewRecord(), slow: make(map[string]slowSpan),
+		crashes: crash.NewRecord(opts.Address), slow: make(map[string]slowSpan),
 	}
 	s.members = newMembers(now, opts)
 	return s
