A refusal reaches requests that wait or run when it is decided

Cause: the verdict was looked up once, at the start of a request.

Evidence: TestRefusalReachesRequestsInProgress failed before (the waiting request had no final answer, verdict 0 instead of refused).

Why this works: taking in the verdicts ends every request in progress that is refused from now on, so that none is left that could be sent: as refused with the time to stay away where nothing has run, else as failed. Its calls are closed at once, as a server drops what it has not begun.

--- a/forward/attribution_test.go
+++ b/forward/attribution_test.go
@@ -120,7 +120,7 @@
 // other hosts hold a crash.
 func TestAnswerClearsASuspectedRequest(t *testing.T) {
 	w := newWorld(t, "s")
-	w.engine.SetCrashes(map[uint64]crash.Verdict{guilty: {Crashed: 2}})
+	w.take(w.engine.SetCrashes(w.now, map[uint64]crash.Verdict{guilty: {Crashed: 2}}))
 	w.start(single(true))
 	w.reply(w.sends[0], ok("x"))
 	list := w.engine.TakeReports(w.now)
@@ -150,3 +150,35 @@
 	w.is.True(len(w.checks) <= mostChecks+3*crash.Refuse)
 
 }
+
+// TestRefusalReachesRequestsInProgress plays news of a request's crashes that
+// arrives while it waits for a server, and while a call of it is in flight.
+func TestRefusalReachesRequestsInProgress(t *testing.T) {
+	verdicts := map[uint64]crash.Verdict{guilty: {Crashed: crash.Refuse, RefusedFor: time.Minute}}
+	w := newWorld(t, "s")
+	var others []Send
+	for w.engine.service("s").waiting() == 0 {
+		_, a := w.engine.Start(w.now, Request{ID: "o", Route: single(true), Deadline: w.now.Add(time.Second), Fingerprint: 8})
+		w.take(a)
+	}
+	others, w.sends = w.sends, nil
+	waiting := w.start(single(true))
+	w.take(w.engine.SetCrashes(w.now, verdicts))
+	w.is.Equal(w.finished[waiting].Verdict, Refused)
+	w.is.Equal(w.finished[waiting].RetryAfter, time.Minute)
+	for _, s := range others {
+		w.reply(s, ok("x"))
+	}
+	for _, s := range w.sends {
+		w.is.True(w.engine.calls[s.Call] == nil || w.engine.calls[s.Call].part.run.req.Fingerprint != guilty)
+	}
+
+	w = newWorld(t, "s")
+	running := w.start(single(true))
+	w.take(w.engine.SetCrashes(w.now, verdicts))
+	w.is.Equal(w.finished[running].Verdict, Failed) // it may have run
+	w.is.Equal(len(w.cancels), 1)
+	w.is.Equal(w.cancels[0].After, time.Duration(0)) // a server drops what it has not begun
+	w.reply(w.sends[0], Reply{Outcome: Broken})
+	w.is.Equal(len(w.sends), 1)
+}
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -72,8 +73,47 @@
 	return crashes{open: make(map[*policy.Target][]unanswered), checked: make(map[*policy.Target]time.Time)}
 }
 
-// SetCrashes takes in what the reports of all hosts come to.
-func (e *Engine) SetCrashes(verdicts map[uint64]crash.Verdict) { e.crashes.verdicts = verdicts }
+// SetCrashes takes in what the reports of all hosts come to, and ends the
+// requests in progress that are refused from now on.
+func (e *Engine) SetCrashes(now time.Time, verdicts map[uint64]crash.Verdict) Actions {
+	e.crashes.verdicts = verdicts
+	for _, v := range verdicts {
+		if v.Refused() {
+			e.endRefused(now)
+			break
+		}
+	}
+	return e.take()
+}
+
+func (e *Engine) endRefused(now time.Time) {
+	for _, r := range e.runs {
+		if v := e.crashes.verdicts[r.req.Fingerprint]; v.Refused() {
+			r.endCrashing(now, v)
+		}
+	}
+}
+
+// endCrashing ends a request that crashes servers. Its calls are given up at
+// once: a server that has not begun to work on one drops it.
+func (r *run) endCrashing(now time.Time, v crash.Verdict) {
+	r.note("ended with %d calls in flight: the request has crashed %d servers", r.inFlight(), v.Crashed)
+	for i := range r.parts {
+		r.parts[i].linger = 0
+	}
+	f := Finish{Verdict: Refused, Reason: fmt.Sprintf("the request has crashed %d servers", v.Crashed), RetryAfter: v.RefusedFor}
+	if r.unsure > 0 {
+		f.Verdict = Failed
+	}
+	r.finish(now, f)
+}
+
+func (r *run) inFlight() (n int) {
+	for i := range r.parts {
+		n += len(r.parts[i].calls)
+	}
+	return n
+}
 
 // TakeReports returns what this host has found since the last time.
 func (e *Engine) TakeReports(now time.Time) []crash.Report {
--- a/forward/crashes_test.go
+++ b/forward/crashes_test.go
@@ -297,7 +297,7 @@
 		}
 	}
 	h.balancer.ApplyHosts(f.now, addresses, local)
-	h.engine.SetCrashes(h.state.Crashes(f.now))
+	f.take(h, h.engine.SetCrashes(f.now, h.state.Crashes(f.now)))
 	reports := h.engine.TakeReports(f.now)
 	for _, x := range reports {
 		if x.Fingerprint == guilty && !x.Answered {
--- a/forward/part.go
+++ b/forward/part.go
@@ -29,6 +29,8 @@
 	answered bool
 	// spareAt is when a second server may be asked; it is zero while none may.
 	spareAt time.Time
+	// linger is how long its calls may go on when they are no longer wanted.
+	linger time.Duration
 	// waiting is set while the part waits for a server, since that time.
 	waiting bool
 	since   time.Time
@@ -228,7 +230,7 @@
 	for _, c := range p.calls {
 		c.wanted = false
 		if !careful {
-			p.run.engine.out.Cancel = append(p.run.engine.out.Cancel, Cancel{Call: c.id, After: lingerFor})
+			p.run.engine.out.Cancel = append(p.run.engine.out.Cancel, Cancel{Call: c.id, After: p.linger})
 		}
 	}
 	p.calls = nil
--- a/forward/run.go
+++ b/forward/run.go
@@ -66,7 +66,7 @@
 // begin sends the first calls, or refuses the request.
 func (r *run) begin(now time.Time) {
 	if v := r.engine.crashes.verdicts[r.req.Fingerprint]; v.Refused() {
-		r.refuse(now, fmt.Sprintf("the request has crashed %d servers", v.Crashed), v.RefusedFor)
+		r.endCrashing(now, v)
 		return
 	}
 	services := r.req.Route.Gather
@@ -76,7 +76,7 @@
 	r.parts = make([]part, len(services))
 	r.open = len(services)
 	for i, s := range services {
-		r.parts[i] = part{run: r, service: r.engine.service(s)}
+		r.parts[i] = part{run: r, service: r.engine.service(s), linger: lingerFor}
 	}
 	if reason, ok := r.hopeless(now); ok {
 		r.refuse(now, string(reason), r.retryAfter(now, reason))
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -76,7 +76,7 @@
 	now := r.now()
 	r.balancer.ApplyHosts(now, addresses, local)
 	r.balancer.SetSlow(b.Slow)
-	r.engine.SetCrashes(b.Crashes)
+	r.act(r.engine.SetCrashes(now, b.Crashes))
 	if b.Picture != nil {
 		r.apply(now, b.Picture)
 	}
