Findings of crashes reach the other hosts at once, and only when they change

Callers could see: a host that found a crash told others at its next poll, a tenth of the bound later; killed before that, it took the finding with it. And each poll and answer carried every report again, up to 128 of them three times a second on every link, in a mass crash as priced bytes between data centres.

Cause: reports had no state of their own; they rode on the polls for entries.

TestCrashReportsSpread also checks that nobody is told again what it has, and that a host which starts anew hears of all.

Why this works: the state of a host's reports has a name that both sides of a link tell each other. Reports go when the other side does not have that state; upwards at once when they come from this host or from below, downwards as other news is pushed.

--- a/news/crashes.go
+++ b/news/crashes.go
@@ -6,24 +6,78 @@
 	"github.com/figmast/figmast/crash"
 )
 
+// crashes are the reports of requests that crash servers, and what other hosts
+// need to be told of them.
+type crashes struct {
+	record *crash.Record
+	// at names the state of the record; it differs from that of an earlier run
+	// of the host.
+	at uint64
+	// upwards is the state after the last change that upstreams may not know.
+	upwards uint64
+}
+
+func newCrashes(now time.Time, host string) crashes {
+	return crashes{record: crash.NewRecord(host), at: uint64(now.UnixNano())}
+}
+
+// source is where reports come from.
+type source string
+
+const (
+	fromThisHost source = "this host"
+	fromUpstream source = "upstream"
+	fromBelow    source = "below"
+)
+
 // TakeCrashes takes in what this host has found of requests that crash servers.
 func (s *State) TakeCrashes(now time.Time, list []crash.Report) {
-	s.takeCrashes(now, "this host", list)
+	s.takeCrashes(now, fromThisHost, list)
 }
 
-// takeCrashes takes in reports from this host or from another one.
-func (s *State) takeCrashes(now time.Time, from string, list []crash.Report) {
+func (s *State) takeCrashes(now time.Time, from source, list []crash.Report) {
+	c := &s.crashes
 	for _, p := range list {
-		if !s.crashes.Take(now, p) {
+		if !c.record.Take(now, p) {
 			continue
 		}
-		event := "server crashed by a request"
+		c.at++
+		if from != fromUpstream {
+			c.upwards = c.at
+		}
+		event := "server ended under a request"
 		if p.Answered {
 			event = "suspected request answered"
 		}
-		s.opts.Log(event, "content", crash.FormatFingerprint(p.Fingerprint), "service", p.Service, "server", p.Server, "from", from, "age_ms", p.AgeMs)
+		s.opts.Log(event, "content", crash.FormatFingerprint(p.Fingerprint), "service", p.Service, "server", p.Server, "from", string(from), "age_ms", p.AgeMs)
 	}
 }
 
 // Crashes returns what the reports of all hosts come to.
-func (s *State) Crashes(now time.Time) map[uint64]crash.Verdict { return s.crashes.Verdicts(now) }
+func (s *State) Crashes(now time.Time) map[uint64]crash.Verdict {
+	return s.crashes.record.Verdicts(now)
+}
+
+// CrashesAt names the state of the reports, and the state that upstreams are to
+// be told of at once.
+func (s *State) CrashesAt() (at, upwards uint64) { return s.crashes.at, s.crashes.upwards }
+
+// addCrashes adds the reports to an update unless the other host has them.
+func (s *State) addCrashes(now time.Time, u *Update, known uint64) {
+	u.CrashesAt = s.crashes.at
+	if known != s.crashes.at {
+		u.Crashes = s.crashes.record.Reports(now)
+	}
+}
+
+// pollCrashes adds the reports to a poll unless the other host has them; last
+// is its last answer, or nil.
+func (s *State) pollCrashes(now time.Time, p *Poll, last *Update) {
+	p.CrashesAt = s.crashes.at
+	if last != nil {
+		p.CrashesKnown = last.CrashesAt
+	}
+	if last == nil || last.CrashesKnown != s.crashes.at {
+		p.Crashes = s.crashes.record.Reports(now)
+	}
+}
--- a/news/feed/link.go
+++ b/news/feed/link.go
@@ -29,9 +29,11 @@
 	last    *news.Update
 	// asked holds when the poll in progress was sent; it belongs to the owner
 	// of the State.
-	nonce  uint64
-	asked  time.Time
-	next   time.Time
+	nonce uint64
+	asked time.Time
+	next  time.Time
+	// told is the state of the reports of crashes at the last poll.
+	told   uint64
 	closed bool
 }
 
@@ -61,9 +63,11 @@
 		}
 		return
 	}
-	if now.Before(l.next) {
+	at, upwards := f.opts.State.CrashesAt()
+	if now.Before(l.next) && l.told >= upwards {
 		return
 	}
+	l.told = at
 	l.nonce++
 	l.asked = now
 	l.next = now.Add(f.opts.State.PollEvery())
@@ -154,6 +158,9 @@
 		l.asked = time.Time{}
 		l.last = u
 	}
+	if u.Nonce == 0 && l.last != nil {
+		l.last.CrashesAt = u.CrashesAt
+	}
 	f.opts.State.Heard(now, l.address, u)
 	f.opts.State.TakeUpdate(now, asked, u)
 }
@@ -162,8 +169,10 @@
 type child struct {
 	conn net.Conn
 	have int64
-	push bool
-	out  chan []byte
+	// crashes is the state of the reports of crashes that it has.
+	crashes uint64
+	push    bool
+	out     chan []byte
 }
 
 // childQueue is how many messages may wait for a slow child; it is cut off
@@ -206,7 +215,7 @@
 		}
 		f.post(func(now time.Time) {
 			u := f.opts.State.Answer(now, p)
-			c.have, c.push = u.Revision, p.Push
+			c.have, c.crashes, c.push = u.Revision, u.CrashesAt, p.Push
 			f.sendChild(c, f.encode(u))
 		})
 	}
@@ -253,16 +262,21 @@
 // push sends news to the hosts that ask this one, without their asking.
 func (f *Feed) push(now time.Time) {
 	revision := f.opts.State.Revision()
-	var same []byte
-	var sameFor int64
+	crashes, _ := f.opts.State.CrashesAt()
+	type state struct {
+		have    int64
+		crashes uint64
+	}
+	sent := make(map[state][]byte)
 	for c := range f.children {
-		if !c.push || c.have == 0 || c.have >= revision {
+		if !c.push || c.have == 0 || c.have >= revision && c.crashes == crashes {
 			continue
 		}
-		if same == nil || sameFor != c.have {
-			same, sameFor = f.encode(f.opts.State.News(now, c.have)), c.have
+		has := state{c.have, c.crashes}
+		if sent[has] == nil {
+			sent[has] = f.encode(f.opts.State.News(now, c.have, c.crashes))
 		}
-		c.have = revision
-		f.sendChild(c, same)
+		c.have, c.crashes = revision, crashes
+		f.sendChild(c, sent[has])
 	}
 }
--- a/news/news.go
+++ b/news/news.go
@@ -59,6 +59,11 @@
 	Push bool `cbor:"7,keyasint,omitempty"`
 	// Slow are calls that servers were slow to answer.
 	Slow []Slow `cbor:"8,keyasint,omitempty"`
+	// CrashesAt names the state of the asking host's reports, and CrashesKnown
+	// that of the other host's as the asking one has it. Crashes are left out
+	// where the other host has them.
+	CrashesAt    uint64 `cbor:"9,keyasint,omitempty"`
+	CrashesKnown uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Update answers a Poll; one with nonce 0 was not asked for.
@@ -76,6 +81,10 @@
 	// Below is the hash of the hosts that the other one said ask it.
 	Below uint64 `cbor:"8,keyasint,omitempty"`
 	Slow  []Slow `cbor:"9,keyasint,omitempty"`
+	// CrashesAt and CrashesKnown are as in a Poll; CrashesAt is 0 where the
+	// reports are not said.
+	CrashesAt    uint64 `cbor:"10,keyasint,omitempty"`
+	CrashesKnown uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Note names a host to others.
--- a/news/state.go
+++ b/news/state.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/route"
 )
 
@@ -48,7 +47,7 @@
 	returned time.Time
 
 	members members
-	crashes *crash.Record
+	crashes crashes
 	slow    map[string]slowSpan
 
 	picture *route.Picture
@@ -85,7 +84,7 @@
 	}
 	s := &State{
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
-		crashes: crash.NewRecord(opts.Address), slow: make(map[string]slowSpan),
+		crashes: newCrashes(now, opts.Address), slow: make(map[string]slowSpan),
 	}
 	s.members = newMembers(now, opts)
 	return s
@@ -134,7 +133,7 @@
 	case !u.Full && s.revision > 0:
 		s.delta(now, u.Items, u.Revision)
 	}
-	s.takeCrashes(now, "upstream", u.Crashes)
+	s.takeCrashes(now, fromUpstream, u.Crashes)
 	s.TakeSlow(now, u.Slow)
 }
 
@@ -180,10 +179,10 @@
 // Answer returns what a poll calls for.
 func (s *State) Answer(now time.Time, p *Poll) *Update {
 	s.members.polled(now, p)
-	s.takeCrashes(now, p.From.Address, p.Crashes)
+	s.takeCrashes(now, fromBelow, p.Crashes)
 	s.TakeSlow(now, p.Slow)
-	u := s.News(now, p.Have)
-	u.Nonce = p.Nonce
+	u := s.News(now, p.Have, p.CrashesKnown)
+	u.Nonce, u.CrashesKnown = p.Nonce, p.CrashesAt
 	u.Below = hashOf(s.members.below[p.From.Address].list)
 	if live := s.members.live(now); hashOf(live) != p.Known {
 		u.Members = live
@@ -191,9 +190,11 @@
 	return u
 }
 
-// News returns what has changed after a revision.
-func (s *State) News(now time.Time, have int64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Crashes: s.crashes.Reports(now), Slow: s.slowNotes(now)}
+// News returns what has changed after a revision and a state of the reports of
+// crashes.
+func (s *State) News(now time.Time, have int64, crashesKnown uint64) *Update {
+	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowNotes(now)}
+	s.addCrashes(now, u, crashesKnown)
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
 	}
@@ -208,7 +209,8 @@
 
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Crashes: s.crashes.Reports(now), Slow: s.slowNotes(now), Push: push}
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Slow: s.slowNotes(now), Push: push}
+	s.pollCrashes(now, p, last)
 	m := &s.members
 	m.lapse(now)
 	if m.later(now, address) {
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -366,6 +366,19 @@
 	for _, h := range f.hosts {
 		is.Equal(h.state.Crashes(f.now)[42].Crashed, 3)
 	}
+	for _, address := range f.order { // a host that starts anew hears of them
+		f.startHost(address)
+		f.run(time.Second)
+		is.Equal(f.hosts[address].state.Crashes(f.now)[42].Crashed, 3)
+	}
+	f.run(testApply)
+	for _, h := range f.hosts { // and nobody is told again
+		for _, up := range h.state.Upstreams(f.now) {
+			p := h.state.Poll(f.now, 2, up, h.last[up], false)
+			is.Equal(len(p.Crashes), 0)
+			is.Equal(len(f.hosts[up].state.Answer(f.now, p).Crashes), 0)
+		}
+	}
 }
 
 // TestLateWatchConfirmsLittle: what a watch says holds for when the store
@@ -397,7 +410,7 @@
 			age, known := s.Age(now)
 			is.True(known)
 			is.Equal(age, c.age)
-			is.Equal(s.News(now, 1).AgeMs, c.age.Milliseconds()) // what others are told
+			is.Equal(s.News(now, 1, 0).AgeMs, c.age.Milliseconds()) // what others are told
 		})
 	}
 }
