A request that may be at fault is tried by one call at a time

Callers and servers saw: a merged request that crashes servers went to all shards, and a second time to each that broke off, before anything was known of it, 20 servers on 10 shards; let in again after a refusal, it crashed ten or twenty more.

Cause: the same as that of the other faults here: each call was decided on its own, and what the request's other calls had shown was not asked.

Why this works: while a server has ended under the request and none has answered since, or three of its calls broke off and none was answered, one call is in flight at a time, without a second one beside it. An answer lets all parts go on; a break ends the request. A data centre lost costs its requests one round trip more.

TestGatherWithoutHopeEndsAtOnce broke calls of two shards off while no other had answered, which is now such a case. It keeps its check after an answer of another shard, and also bounds the calls and the end without one.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
@@ -248,23 +250,38 @@
 	w.is.Equal(w.finished[id].Missing, 1) // late, and delivered at once
 }
 
+// breakOff breaks every call to two shards off until none is left.
+func (w *world) breakOff(from int) {
+	lost := []string{w.sends[0].Target.Service, w.sends[1].Target.Service}
+	for i := from; i < len(w.sends); i++ {
+		if slices.Contains(lost, w.sends[i].Target.Service) && w.engine.calls[w.sends[i].Call] != nil {
+			w.reply(w.sends[i], Reply{Outcome: Broken})
+		}
+	}
+}
+
+// TestGatherWithoutHopeEndsAtOnce: two shards of ten are lost, one may be. While
+// nothing has answered, the request itself may be at fault: at most three calls
+// more break off, and it ends with the first answer.
 func TestGatherWithoutHopeEndsAtOnce(t *testing.T) {
 	rt, shards := gatherRoute(10, 0.89)
 	w := newWorld(t, shards...)
 	id := w.start(rt)
-	for _, s := range w.sends[:2] {
-		for i := range w.sends {
-			if w.sends[i].Target.Service == s.Target.Service {
-				w.reply(w.sends[i], Reply{Outcome: Broken})
-			}
-		}
-	}
-	for i := 10; i < len(w.sends); i++ {
-		w.reply(w.sends[i], Reply{Outcome: Broken})
-	}
+	w.reply(w.sends[2], ok("0123456789abcdef"))
+	w.breakOff(0)
 	f, done := w.finished[id]
 	w.is.True(done)
-	w.is.Equal(f.Verdict, Failed) // two shards of ten are lost, one may be
+	w.is.Equal(f.Verdict, Failed)
+
+	w = newWorld(t, shards...)
+	id = w.start(rt)
+	w.breakOff(0)
+	w.is.True(len(w.sends) < 10+crash.Refuse)
+	w.is.Equal(len(w.finished), 0)
+	sent := len(w.sends)
+	w.reply(w.sends[2], ok("0123456789abcdef"))
+	w.breakOff(sent)
+	w.is.Equal(w.finished[id].Verdict, Failed)
 }
 
 // TestAFailureIsNoPart: a failure with a signature is not merged.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -264,6 +264,8 @@
 	if c.wanted {
 		c.wanted = false
 		c.part.reply(now, c, reply)
+	} else {
+		c.part.run.rest(now) // an answer lets held parts go on
 	}
 }
 
--- a/forward/part.go
+++ b/forward/part.go
@@ -31,6 +31,10 @@
 	spareAt time.Time
 	// linger is how long its calls may go on when they are no longer wanted.
 	linger time.Duration
+	// held parts wait for a call of another part; heldReply is what they go on
+	// after, if they had begun.
+	held      bool
+	heldReply *Reply
 	// waiting is set while the part waits for a server, since that time.
 	waiting bool
 	since   time.Time
@@ -52,6 +56,8 @@
 	wanted bool
 	// lost is set once the server is known to be gone.
 	lost bool
+	// trial is set where the request was suspected when the call began.
+	trial bool
 }
 
 const (
@@ -65,6 +71,9 @@
 
 // start sends the first call, or waits for a server.
 func (p *part) start(now time.Time) {
+	if p.hold(nil) {
+		return
+	}
 	target, reason := p.choose(now, false)
 	switch {
 	case target != nil && !p.service.ahead(p):
@@ -89,7 +98,7 @@
 func (p *part) send(now time.Time, t *policy.Target) {
 	e, usual := p.run.engine, p.run.record.usual()
 	e.lastCall++
-	c := &call{id: e.lastCall, part: p, target: t, wanted: true}
+	c := &call{id: e.lastCall, part: p, target: t, wanted: true, trial: p.run.suspected()}
 	c.record = e.opts.Balancer.Begin(now, t, usual, p.sent == 0)
 	e.calls[c.id] = c
 	p.calls = append(p.calls, c)
@@ -117,6 +126,10 @@
 	if r.done || p.state != partOpen {
 		return
 	}
+	if c.trial && r.suspected() && (reply.Outcome == Broken || reply.Outcome == TimedOut) && now.Before(r.expiry()) {
+		r.failTrial(now, c, reply)
+		return
+	}
 	if reply.Outcome == Answered && (reply.OK || !r.gather() && reply.Status < 500) {
 		p.have(reply)
 	} else {
@@ -144,6 +157,9 @@
 	if len(p.calls) > 0 {
 		return
 	}
+	if p.hold(&reply) {
+		return
+	}
 	rt := p.run.req.Route
 	free := reply.Outcome == NotSent
 	switch {
@@ -199,6 +215,10 @@
 	if p.state != partOpen || p.spareAt.IsZero() || now.Before(p.spareAt) || len(p.calls) == 0 {
 		return
 	}
+	if p.run.suspected() {
+		p.spareAt = now.Add(spareAgain)
+		return
+	}
 	p.spareAt = now.Add(spareAgain)
 	if p.service.waiting() > 0 || p.run.engine.opts.Balancer.RetryLeft(now, p.service.name) < 1 {
 		return
--- a/forward/run.go
+++ b/forward/run.go
@@ -227,8 +227,9 @@
 	r.rest(now)
 }
 
-// rest sets the timer to what is due next.
+// rest lets held parts go on and sets the timer to what is due next.
 func (r *run) rest(now time.Time) {
+	r.release(now)
 	if r.done {
 		return
 	}
