--- a/forward/crashes_test.go
+++ b/forward/crashes_test.go
@@ -30,6 +30,10 @@
 	crashDies = time.Millisecond
 	// crashDial is when opening a connection to a silent server is given up.
 	crashDial = 250 * time.Millisecond
+	// The budget of calls beyond the first of each request, over all hosts.
+	crashRetryRatio  = 0.2
+	crashRetrySlack  = 58
+	crashRetryWindow = 10 * time.Second
 	// mostLate is how often the request may reach servers later than
 	// crashContact after the third crash: the platform's rule.
 	mostLate = 3
@@ -111,6 +115,13 @@
 	requests map[RunID]*crashRequest
 }
 
+// arrival is a request's call at a service.
+type arrival struct {
+	engine  *Engine
+	run     RunID
+	service string
+}
+
 // crashRequest is one attempt of a caller.
 type crashRequest struct {
 	fingerprint uint64
@@ -132,6 +143,12 @@
 	version int64
 	events  simEvents
 
+	// requests is when callers sent theirs, extra when a service got a call
+	// beyond the first of a request.
+	requests []time.Time
+	extra    map[string][]time.Time
+	arrived  map[arrival]bool
+
 	// arrivals and crashes are those of the request, as servers saw them;
 	// refused counts its refusals, and wronged those of other requests that
 	// were taken for one.
@@ -170,6 +187,7 @@
 	f := &crashFleet{
 		shape: shape, t0: time.Unix(1000, 0), now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 5)),
 		byPlace: make(map[string]*crashServer), store: make(map[string]news.Item),
+		extra: make(map[string][]time.Time), arrived: make(map[arrival]bool),
 	}
 	f.rt = single(!shape.once)
 	names := []string{"s"}
@@ -213,7 +231,7 @@
 	seeds := []string{f.hosts[0].address, f.hosts[min(1, len(f.hosts)-1)].address, f.hosts[min(2, len(f.hosts)-1)].address}
 	h.balancer = policy.NewBalancer(f.now, policy.BalancerOptions{
 		Address: h.address, DataCentre: string(rune('a' + dc[len(dc)-1] - '0')), Rand: f.random,
-		RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
+		RetryRatio: crashRetryRatio, RetrySlack: crashRetrySlack, RetryWindow: crashRetryWindow,
 	})
 	h.engine = NewEngine(Options{Balancer: h.balancer, Rand: f.random, Processor: 1})
 	h.state = news.NewState(f.now, news.Options{
@@ -370,6 +388,13 @@
 	case !s.up:
 		f.later(c, Reply{Outcome: NotSent, Unreachable: true, Detail: "not sent: refused"})
 		return
+	}
+	at := arrival{c.engine, c.send.Run, s.Service}
+	if f.arrived[at] {
+		f.extra[s.Service] = append(f.extra[s.Service], f.now)
+	}
+	f.arrived[at] = true
+	switch {
 	case s.ID != c.send.Target.ID:
 		f.later(c, Reply{Outcome: NotRun, Status: 421, Moved: true, Detail: "not run, status 421"})
 		return
@@ -465,6 +490,7 @@
 func (f *crashFleet) send(fingerprint uint64, retries int) {
 	h := f.hosts[f.random.IntN(len(f.hosts))]
 	x := &crashRequest{fingerprint, retries, f.now}
+	f.requests = append(f.requests, f.now)
 	id, a := h.engine.Start(f.now, Request{ID: "r", Route: f.rt, Deadline: f.now.Add(f.rt.Timeout), Fingerprint: fingerprint})
 	h.requests[id] = x
 	f.take(h, a)
@@ -541,6 +567,26 @@
 	return n
 }
 
+// overBudget returns the most calls beyond the budget that a service got in a
+// window.
+func (f *crashFleet) overBudget() (most int) {
+	within := func(list []time.Time, end time.Time) int {
+		until, _ := slices.BinarySearchFunc(list, end.Add(1), time.Time.Compare)
+		from, _ := slices.BinarySearchFunc(list, end.Add(1-crashRetryWindow), time.Time.Compare)
+		return until - from
+	}
+	for _, extra := range f.extra {
+		for _, end := range extra {
+			requests := 0
+			for _, back := range []time.Duration{0, crashRetryWindow / 2, crashRetryWindow} {
+				requests = max(requests, within(f.requests, end.Add(-back)))
+			}
+			most = max(most, within(extra, end)-int(crashRetryRatio*float64(requests))-crashRetrySlack)
+		}
+	}
+	return most
+}
+
 var crashShapes = []crashShape{
 	{hosts: 1, servers: 3, back: 3 * time.Second, every: 2 * time.Second, spell: 60 * time.Second},
 	{hosts: 1, servers: 3, back: 3 * time.Second, every: 2 * time.Second, spell: 40 * time.Second, load: 50},
@@ -579,6 +625,9 @@
 			if f.wronged > mostWronged+f.others/wrongedPart {
 				t.Errorf("%d other requests of %d are refused as if they crashed servers", f.wronged, f.others)
 			}
+			if over := f.overBudget(); over > 0 {
+				t.Errorf("a service got %d calls more than the retry budget allows", over)
+			}
 			if got := f.late(); got > mostLate {
 				t.Errorf("%d arrivals later than %v after the third crash, more than %d", got, crashContact, mostLate)
 			}
