An answer without end is broken off, and what is held of many is bounded

Cause: net/http's reader of answers bounds neither the head nor its lines, and the bound of bodies held for one call, whatever the others held.

A call that is broken off closes its connection, counts against its server and goes to another one where it may. One that sends slowly without end is given up at the deadline, as a slow answer is.

--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -86,6 +86,12 @@
 		case strings.Contains(target, "crash"):
 			b.end()
 			return
+		case strings.Contains(target, "endless"):
+			for err := error(nil); err == nil; {
+				_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-A: %s", strings.Repeat("a", 4096))
+			}
+			b.closed <- struct{}{}
+			return
 		case strings.Contains(target, "busy"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
@@ -259,6 +265,7 @@
 		"refused, not run":   {"POST /p/busy" + get + "Content-Length: 0\r\n\r\n", 503, ""},
 		"503 that ran":       {"POST /p/ran503" + get + "Content-Length: 0\r\n\r\n", 502, ""},
 		"failure":            {"POST /p/fails" + get + "Content-Length: 0\r\n\r\n", 500, "s"},
+		"head without end":   {"POST /p/endless" + get + "Content-Length: 0\r\n\r\n", 502, ""},
 		"silent":             {"POST /p/slow" + get + "Content-Length: 0\r\n\r\n", 504, ""},
 		"deadline has gone":  {"GET /p/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: r\r\nX-Left: 0\r\n\r\n", 503, ""},
 		"absolute target":    {"GET http://h.example/p/1" + get + "\r\n", 200, "s"},
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -46,10 +46,28 @@
 	finish  chan forward.Finish
 }
 
+const (
+	// readingPart of the host's memory may be held by answers that are being
+	// read: 23 MB of the smallest host's 184.
+	readingPart = 8
+	// maxPartBytes bounds a part of a merged answer: 64 Ki records of 16 bytes,
+	// a hundred times the largest part of the deployments known.
+	maxPartBytes = 1 << 20
+)
+
+// mostBytes returns how large a server's answer to the request may be; 0 means
+// the pool's bound.
+func (q *callerRequest) mostBytes() int {
+	if len(q.route.Gather) > 0 {
+		return maxPartBytes
+	}
+	return 0
+}
+
 func newRunner(now func() time.Time, s Settings, h Headers, b *policy.Balancer, e *forward.Engine, c *counters) *runner {
 	r := &runner{
 		now: now, headers: h, balancer: b, engine: e, local: s.DataCentre, counts: c,
-		pool:     http1.NewPool(http1.Options{RequestID: h.RequestID, Now: now}),
+		pool:     http1.NewPool(http1.Options{RequestID: h.RequestID, Now: now, MaxReading: s.MemoryBytes / readingPart}),
 		requests: make(map[forward.RunID]*exchange), cancels: make(map[forward.CallID]context.CancelFunc),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
@@ -179,7 +197,7 @@
 	defer r.done.Done()
 	began := r.now()
 	answer, state, err := r.pool.Do(ctx, http1.Call{
-		Peer: peerOf(s.Target.Server), Method: q.method, ID: q.id, Deadline: s.Deadline, Careful: s.Careful, KeepIdle: s.Target.KeepIdle(),
+		Peer: peerOf(s.Target.Server), Method: q.method, ID: q.id, Deadline: s.Deadline, MostBytes: q.mostBytes(), Careful: s.Careful, KeepIdle: s.Target.KeepIdle(),
 		Bytes: func(left time.Duration) []byte { return q.bytes(r.headers, s.Target.ID, left) },
 	})
 	reply := r.reply(answer, state, err)
--- a/http1/answer.go
+++ b/http1/answer.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,9 +22,6 @@
 }
 
 const (
-	// maxAnswerBytes bounds an answer's body; answers are held in memory until
-	// they are whole.
-	maxAnswerBytes = 8 << 20
 	// maxInterim bounds the interim answers (1xx) before the final one.
 	maxInterim = 8
 	// maxStray bounds the answers to other requests that are skipped.
@@ -33,28 +29,30 @@
 )
 
 var (
-	errTooLarge = errors.New("the answer is too large")
-	errInterim  = errors.New("too many interim answers")
-	errStray    = errors.New("the answer belongs to another request")
-	errEncoded  = errors.New("the answer has a content coding that was not asked for")
+	errInterim = errors.New("too many interim answers")
+	errStray   = errors.New("the answer belongs to another request")
+	errEncoded = errors.New("the answer has a content coding that was not asked for")
 )
 
-// readAnswer reads the answer to a request with that method and ID. Late
-// answers to other requests are skipped.
-func readAnswer(r *bufio.Reader, method, idHeader, id string) (a *Answer, keep bool, err error) {
+// readAnswer reads the answer to a call. Late answers to other requests are
+// skipped.
+func (p *Pool) readAnswer(c *conn, call Call) (a *Answer, keep bool, err error) {
+	most := call.MostBytes
+	if most == 0 {
+		most = maxAnswerBytes
+	}
 	for range maxStray + 1 {
-		resp, err := readFinal(r, method)
+		c.meter.left = maxHeadBytes
+		resp, err := readFinal(c.r, call.Method)
 		if err != nil {
 			return nil, false, err
 		}
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+		c.meter.left = framing * int64(most+1)
+		body, err := p.readBody(resp.Body, most)
 		if err != nil {
 			return nil, false, err
 		}
-		if len(body) > maxAnswerBytes {
-			return nil, false, errTooLarge
-		}
-		if echoed := resp.Header.Get(idHeader); echoed != "" && id != "" && echoed != id {
+		if echoed := resp.Header.Get(p.opts.RequestID); echoed != "" && call.ID != "" && echoed != call.ID {
 			if resp.Close {
 				return nil, false, errStray
 			}
--- a/http1/call.go
+++ b/http1/call.go
@@ -35,6 +35,8 @@
 	Deadline time.Time
 	// KeepIdle is how long the connection is kept afterwards, at most.
 	KeepIdle time.Duration
+	// MostBytes bounds the answer's body; 0 means 8 MB.
+	MostBytes int
 	// Careful calls take no connection that the server may be closing.
 	Careful bool
 	// Guard is asked right before the first byte is written, if it is set.
@@ -68,7 +70,7 @@
 	_ = c.SetDeadline(time.Now().Add(left))
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	written := writeRequest(c, call.Bytes(left))
-	answer, keep, err := readAnswer(c.r, call.Method, p.opts.RequestID, call.ID)
+	answer, keep, err := p.readAnswer(c, call)
 	stopped := stop()
 	if err != nil {
 		p.close(c)
--- a/http1/call_test.go
+++ b/http1/call_test.go
@@ -231,7 +231,10 @@
 	f.Add([]byte(answer("1", "hello")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		a, _, err := readAnswer(bufio.NewReader(strings.NewReader(string(b))), http.MethodGet, "X-Id", "1")
+		c := new(conn)
+		c.meter = &meter{from: strings.NewReader(string(b))}
+		c.r = bufio.NewReader(c.meter)
+		a, _, err := newPool().readAnswer(c, Call{Method: http.MethodGet, ID: "1"})
 		if err == nil && a.Status < 200 {
 			t.Errorf("an interim answer was taken for a final one: %q", b)
 		}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -18,6 +19,9 @@
 	RequestID string
 	// DialTimeout bounds opening a connection; 0 means 250 ms.
 	DialTimeout time.Duration
+	// MaxReading bounds the memory held by answers that are being read, in
+	// bytes, beside a little for each; 0 means 32 MB.
+	MaxReading int64
 	// Now returns the host's time.
 	Now func() time.Time
 }
@@ -44,10 +48,11 @@
 
 // Pool keeps connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	opts Options
-	mu   sync.Mutex
-	idle map[Peer][]*conn
-	open int
+	opts    Options
+	reading atomic.Int64
+	mu      sync.Mutex
+	idle    map[Peer][]*conn
+	open    int
 }
 
 // Peer names the lifetime of a server and its address.
@@ -59,6 +64,7 @@
 type conn struct {
 	*net.TCPConn
 	peer  Peer
+	meter *meter
 	r     *bufio.Reader
 	used  time.Time
 	limit time.Duration
@@ -69,6 +75,9 @@
 	if opts.DialTimeout == 0 {
 		opts.DialTimeout = dialTimeout
 	}
+	if opts.MaxReading == 0 {
+		opts.MaxReading = defaultReading
+	}
 	return &Pool{opts: opts, idle: make(map[Peer][]*conn)}
 }
 
@@ -172,7 +181,8 @@
 	p.mu.Lock()
 	p.open++
 	p.mu.Unlock()
-	return &conn{TCPConn: tcp, peer: peer, r: bufio.NewReaderSize(tcp, readBuffer), limit: idleFor}, nil
+	m := &meter{from: tcp}
+	return &conn{TCPConn: tcp, peer: peer, meter: m, r: bufio.NewReaderSize(m, readBuffer), limit: idleFor}, nil
 }
 
 // Refuses reports whether nothing takes connections at a server's address. It
