The query engine does not forget a request that it refused, either

Callers of the product's own interface would see: a request that crashes servers was let in every five minutes and crashed two more each time; a mass crash after it pushed the refused request out of the record at once; and a request that was refused for the third time was let go for good.

Cause: the record lapsed with its refusal; the oldest record went first, refused or not; and the count of requests that become suspects together, which tells a network cut, counted one request three times (found by the test).

--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -7,10 +7,14 @@
 
 // Crash suspects.
 const (
-	// markFor is how long a broken call is remembered, suspectFor how long a
-	// suspect is refused.
-	markFor    = 2 * time.Minute
-	suspectFor = 5 * time.Minute
+	// markFor is how long a broken call is remembered.
+	markFor = 2 * time.Minute
+	// suspectFor is how long a suspect is refused, and refusalGrowth how many
+	// times longer each time that it breaks a call when it is let in again, up
+	// to mostRefusal; as package crash has it.
+	suspectFor    = 5 * time.Minute
+	refusalGrowth = 16
+	mostRefusal   = 24 * time.Hour
 	// maxSuspects bounds the record; the oldest go first.
 	maxSuspects = 1024
 	// maxBreaks bounds the servers remembered for one request.
@@ -50,9 +54,19 @@
 	// trial is when the one call began that shows whether the request crashes
 	// servers; 0 while there is none.
 	trial time.Duration
-	// refusedAt and refusedUntil are set once the request is refused.
+	// refusedAt and refusedUntil are set once the request is refused, times is
+	// how often it was.
 	refusedAt    time.Duration
 	refusedUntil time.Duration
+	times        int
+}
+
+// lapsed reports whether the record may be forgotten.
+func (x *suspect) lapsed(at time.Duration) bool {
+	if x.times > 0 {
+		return at-x.refusedUntil > mostRefusal
+	}
+	return at-x.last > markFor
 }
 
 // suspects records the requests that seem to crash backend servers.
@@ -94,7 +108,7 @@
 		return nil
 	}
 	x := t.byKey[key]
-	if x == nil || at-x.last > markFor && x.refusedUntil <= at {
+	if x == nil || x.lapsed(at) {
 		return nil
 	}
 	return x
@@ -146,6 +160,10 @@
 		return
 	}
 	x.last = at
+	if x.times > 0 {
+		t.refuse(at, key, x)
+		return
+	}
 	if contains(x.breaks, srv) {
 		return
 	}
@@ -162,10 +180,13 @@
 func (t *suspects) refuse(at time.Duration, key suspectKey, x *suspect) {
 	if x.refusedUntil <= at {
 		t.fresh = append(t.fresh, key)
-		t.refused = append(t.refused, key)
+		if !slices.Contains(t.refused, key) { // one request is no storm
+			t.refused = append(t.refused, key)
+		}
 		x.refusedAt = at
+		x.refusedUntil = at + refusalFor(x.times)
+		x.times++
 	}
-	x.refusedUntil = at + suspectFor
 	t.refused = slices.DeleteFunc(t.refused, func(k suspectKey) bool {
 		y := t.byKey[k]
 		return y == nil || at-y.refusedAt > stormWindow
@@ -175,6 +196,15 @@
 	}
 }
 
+// refusalFor returns how long a request is refused that was so often before.
+func refusalFor(times int) time.Duration {
+	d := suspectFor
+	for range times {
+		d = min(d*refusalGrowth, mostRefusal)
+	}
+	return d
+}
+
 // calm lets go the suspects found in a storm. It is not their doing, and one
 // that does crash servers is found again when it comes alone.
 func (t *suspects) calm() {
@@ -186,20 +216,21 @@
 	})
 }
 
-// makeRoom drops records that have lapsed, and the oldest if none has.
+// makeRoom drops records that have lapsed, and if none has the oldest, of a
+// request that is not refused if there is one.
 func (t *suspects) makeRoom(at time.Duration) {
 	if len(t.byKey) < maxSuspects {
 		return
 	}
 	var oldest suspectKey
-	var oldestAt time.Duration = -1
+	var first *suspect
 	for key, x := range t.byKey {
-		if at-x.last > markFor && x.refusedUntil <= at {
+		if x.lapsed(at) {
 			delete(t.byKey, key)
 			continue
 		}
-		if oldestAt < 0 || x.last < oldestAt {
-			oldest, oldestAt = key, x.last
+		if first == nil || (x.times > 0) != (first.times > 0) && first.times > 0 || (x.times > 0) == (first.times > 0) && x.last < first.last {
+			oldest, first = key, x
 		}
 	}
 	if len(t.byKey) >= maxSuspects {
@@ -229,10 +260,10 @@
 }
 
 // Learn takes in a peer's suspicion. It lasts no longer than this host's own
-// would, whatever the peer's clock says.
+// may, whatever the peer's clock says.
 func (r *Router) Learn(now time.Time, s Suspicion) {
 	at := r.at(now)
-	until := min(s.Until.Sub(r.start), at+suspectFor)
+	until := min(s.Until.Sub(r.start), at+mostRefusal)
 	if until <= at {
 		return
 	}
@@ -243,6 +274,6 @@
 		x = new(suspect)
 		r.suspects.byKey[key] = x
 	}
-	x.last = at
+	x.last, x.times = at, max(x.times, 1)
 	x.refusedUntil = max(x.refusedUntil, until)
 }
--- a/policy/suspects_test.go
+++ b/policy/suspects_test.go
@@ -210,3 +210,42 @@
 	is.True(len(seen) > 50) // spread
 	is.True(r.Backoff(now, "nowhere", NoSuchServer) > 0)
 }
+
+// TestRefusedRequestIsNotForgottenWhileItComes plays a request that crashes a
+// server whenever it is let in, once a second for a day. As on the users'
+// platform, it may reach three more servers after it is first refused.
+func TestRefusedRequestIsNotForgottenWhileItComes(t *testing.T) {
+	is := is.New(t)
+	r := routers(1, 1, Options{}, shape{servers: 3, connections: 50}.doc())[0]
+	late, found := 0, false
+	for i := range 24 * 60 * 60 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		srv, reason := r.Pick(now, suspectPick(poison))
+		if reason != Picked {
+			found = found || reason == Suspect
+			continue
+		}
+		if found {
+			late++
+		}
+		r.Begin(now, srv)
+		r.Done(now, srv, Observation{Result: ResultBroken, Fingerprint: poison})
+	}
+	is.True(found)
+	is.True(late <= 3)
+}
+
+// TestBreaksOfOthersDoNotPushOutARefusedRequest plays a mass crash after a
+// request was refused.
+func TestBreaksOfOthersDoNotPushOutARefusedRequest(t *testing.T) {
+	is := is.New(t)
+	r := routers(1, 1, Options{}, shape{servers: 3, connections: 50}.doc())[0]
+	breakOn(r, epoch, poison, "leaf0", "s0-0")
+	breakOn(r, epoch.Add(time.Second), poison, "leaf0", "s0-1")
+	is.True(refused(r, epoch.Add(2*time.Second), suspectPick(poison)))
+	for f := range uint64(2 * maxSuspects) {
+		breakOn(r, epoch.Add(3*time.Second), 10_000+f, "leaf0", "s0-2")
+	}
+	is.True(refused(r, epoch.Add(4*time.Second), suspectPick(poison)))
+	is.True(len(r.suspects.byKey) <= maxSuspects)
+}
