--- a/cmd/figmast/logs.go
+++ b/cmd/figmast/logs.go
@@ -35,6 +35,7 @@
 	Reason    string `json:"reason"`
 	Decisions string `json:"decisions"`
 	Server    string `json:"server"`
+	Content   string `json:"content"`
 
 	rest string
 }
@@ -43,7 +44,7 @@
 type explained struct {
 	Line logLine `json:"line"`
 	// Before are the latest lines of the host on what it believed, and those
-	// on servers that the request's decisions name.
+	// on servers that the request's decisions name, or on its content.
 	Before []string `json:"before"`
 }
 
@@ -113,7 +114,7 @@
 		if b.Host != l.Host {
 			continue
 		}
-		named := b.Server != "" && strings.Contains(l.Decisions, b.Server)
+		named := b.Server != "" && strings.Contains(l.Decisions, b.Server) || b.Content != "" && b.Content == l.Content
 		if named || b.Server == "" && others < contextLines {
 			out = append(out, b.rest)
 			if !named {
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -97,7 +97,9 @@
 // endCrashing ends a request that crashes servers. Its calls are given up at
 // once: a server that has not begun to work on one drops it.
 func (r *run) endCrashing(now time.Time, v crash.Verdict) {
-	r.note("ended with %d calls in flight: the request has crashed %d servers", r.inFlight(), v.Crashed)
+	if n := r.inFlight(); n > 0 {
+		r.note("given up with %d calls in flight", n)
+	}
 	for i := range r.parts {
 		r.parts[i].linger = 0
 	}
