--- a/forward/crashes_test.go
+++ b/forward/crashes_test.go
@@ -503,7 +503,8 @@
 // replace has a server say that it leaves, and end some seconds later.
 func (f *crashFleet) replace(i int) {
 	f.events.add(f.now.Add(f.shape.release), func() { f.replace(i + 1) })
-	s := f.servers[i%len(f.servers)]
+	const stride = 11 // servers of one shard stand together in the list
+	s := f.servers[i*stride%len(f.servers)]
 	if !s.up {
 		return
 	}
