Calls without an answer are remembered by the servers' heartbeat

On a deployment with heartbeats of more than two seconds a silent server's entry lapses after the calls that it left without an answer were forgotten: the bound was 6 s, whatever the settings say. TestSlowHeartbeatsAreWaitedFor fails with the heartbeat that was assumed.

--- a/forward/attribution_test.go
+++ b/forward/attribution_test.go
@@ -94,6 +94,20 @@
 	}
 }
 
+// TestSlowHeartbeatsAreWaitedFor plays servers that renew their entries every
+// four seconds: a silent one's lapses after twelve.
+func TestSlowHeartbeatsAreWaitedFor(t *testing.T) {
+	w := newWorld(t, "s")
+	w.engine.opts.Heartbeat = 4 * time.Second
+	w.without("", nil)
+	w.start(single(false))
+	w.reply(w.sends[0], Reply{Outcome: TimedOut})
+	w.pass(13 * time.Second)
+	w.engine.TakeReports(w.now)
+	w.without("s-a", nil)
+	w.is.Equal(w.reports(), []string{"s-a"})
+}
+
 // TestSilentServersEndIsHeldAgainstTheCallInProgress plays a caller that still
 // waits when the server's entry lapses.
 func TestSilentServersEndIsHeldAgainstTheCallInProgress(t *testing.T) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,6 +132,8 @@
 type Options struct {
 	Balancer *policy.Balancer
 	Rand     *rand.Rand
+	// Heartbeat is how often backend servers renew their entries; 0 means 1.2 s.
+	Heartbeat time.Duration
 	// Processor is the part of a processor core that the host has; it must be
 	// above 0.
 	Processor float64
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -36,7 +36,7 @@
 	c.callTimes = c.set.NewHistogram("figmast_backend_call_duration_seconds")
 	c.crashes = c.set.NewCounter("figmast_crashes_found_total")
 	c.refusing = c.set.NewCounter(`figmast_server_checks_total{result="refuses"}`)
-	c.taking = c.set.NewCounter(`figmast_server_checks_total{result="takes connections"}`)
+	c.taking = c.set.NewCounter(`figmast_server_checks_total{result="takes"}`)
 	return c
 }
 
