Each report of a crash counts once and goes over a link once

Cause: a host kept the latest 8 servers of a request and the latest 128 requests. Reports age by their time on the way, so that one pushed out came back looking newer, pushed out another, and so on without end; and every change was told with all other reports, to every host, as it came.

Why this works: a report has a key that does not age, and is taken in once; hosts tell each other how many reports they have had and send what came since, ten times a second over one link at most.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -25,6 +25,20 @@
 	// Answered is set when the server answered the request; else it ended
 	// while it worked on it.
 	Answered bool `cbor:"6,keyasint,omitempty"`
+	// Serial tells answers of one server apart; it is any number of the host
+	// that reports.
+	Serial int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// key names what a report is about, however often it is passed on.
+type key struct {
+	fingerprint uint64
+	lifetime
+	serial int64
+}
+
+func (p Report) key() key {
+	return key{p.Fingerprint, lifetime{p.Service, p.Server, p.Born}, p.Serial}
 }
 
 // Verdict is what all reports of a request come to.
@@ -53,51 +67,57 @@
 type history struct {
 	// crashed are the servers that ended under it, answered the services that
 	// answered it, with when.
-	crashed  map[lifetime]time.Time
-	answered map[string]time.Time
+	crashed  map[lifetime]event
+	answered map[string]event
+}
+
+// event is when something happened, and the report that tells it. Its number
+// is its place in the order in which reports were taken in.
+type event struct {
+	at     time.Time
+	number uint64
+	report Report
 }
 
 func newHistory() *history {
-	return &history{crashed: make(map[lifetime]time.Time), answered: make(map[string]time.Time)}
+	return &history{crashed: make(map[lifetime]event), answered: make(map[string]event)}
 }
 
 // takeAnswer notes an answer of a service and reports whether it is news.
-func (h *history) takeAnswer(service string, at time.Time) bool {
-	if old, known := h.answered[service]; known && at.Sub(old) < answerStep {
+func (h *history) takeAnswer(e event) bool {
+	service := e.report.Service
+	if old, known := h.answered[service]; known && e.at.Sub(old.at) < answerStep {
 		return false
 	}
-	h.answered[service] = at
+	h.answered[service] = e
 	return true
 }
 
 // takeCrash notes a crash and reports whether it is news. The latest are kept.
-func (h *history) takeCrash(l lifetime, at time.Time) bool {
-	if _, known := h.crashed[l]; known {
-		return false
-	}
+func (h *history) takeCrash(e event) bool {
 	if len(h.crashed) >= maxServers {
 		var oldest lifetime
-		first := at
-		for o, t := range h.crashed {
-			if t.Before(first) {
-				oldest, first = o, t
+		first := e.at
+		for o, x := range h.crashed {
+			if x.at.Before(first) {
+				oldest, first = o, x.at
 			}
 		}
-		if first.Equal(at) {
+		if first.Equal(e.at) {
 			return false
 		}
 		delete(h.crashed, oldest)
 	}
-	h.crashed[l] = at
+	h.crashed[e.report.key().lifetime] = e
 	return true
 }
 
 // last returns when the last server ended under the request.
 func (h *history) last() time.Time {
 	var last time.Time
-	for _, at := range h.crashed {
-		if at.After(last) {
-			last = at
+	for _, e := range h.crashed {
+		if e.at.After(last) {
+			last = e.at
 		}
 	}
 	return last
@@ -125,12 +145,12 @@
 func (h *history) standing() []time.Time {
 	byService := make(map[string][]time.Time)
 	var all []time.Time
-	for l, at := range h.crashed {
-		if answered, ok := h.answered[l.service]; ok && !answered.Before(at) {
+	for l, e := range h.crashed {
+		if answered, ok := h.answered[l.service]; ok && !answered.at.Before(e.at) {
 			continue
 		}
-		byService[l.service] = append(byService[l.service], at)
-		all = append(all, at)
+		byService[l.service] = append(byService[l.service], e.at)
+		all = append(all, e.at)
 	}
 	if !h.answeredSince(all) {
 		return all
@@ -148,7 +168,7 @@
 func (h *history) answeredSince(crashes []time.Time) bool {
 	for _, answered := range h.answered {
 		for _, at := range crashes {
-			if !answered.Before(at) {
+			if !answered.at.Before(at) {
 				return true
 			}
 		}
--- a/crash/record.go
+++ b/crash/record.go
@@ -28,19 +28,28 @@
 	// firstRefusal, and far more than news takes to reach all hosts.
 	episodeGap = 30 * time.Second
 	// answerStep is how much later an answer must be to replace one that is
-	// known: ages grow by the time on the way each time they are passed on.
+	// known, so that an answer a second is passed on at most.
 	answerStep = time.Second
+	// maxSeen bounds the reports remembered as seen, in each of two
+	// generations: eight times what is kept.
+	maxSeen = 8 * maxRequests * maxServers
 )
 
 // Record holds the reports of all hosts. It is not safe for concurrent use.
 type Record struct {
 	host      string
 	byRequest map[uint64]*history
+	// taken numbers the reports that changed what is known.
+	taken uint64
+	// seen are the reports taken in or passed over: each counts once. A report
+	// that comes back later would push out another, and so on without end, as
+	// its age has grown by its time on the way.
+	seen, seenBefore map[key]bool
 }
 
 // NewRecord returns a Record without reports for the host of that address.
 func NewRecord(host string) *Record {
-	return &Record{host: host, byRequest: make(map[uint64]*history)}
+	return &Record{host: host, byRequest: make(map[uint64]*history), seen: make(map[key]bool)}
 }
 
 // Take takes in a report and reports whether it changes what is known.
@@ -50,17 +59,41 @@
 		return false
 	}
 	h := r.byRequest[p.Fingerprint]
-	if p.Answered {
-		return h != nil && h.takeAnswer(p.Service, at)
+	if p.Answered && h == nil || r.known(p.key()) {
+		return false
 	}
-	if h == nil {
+	p.AgeMs = 0
+	e := event{at, r.taken + 1, p}
+	changed := false
+	switch {
+	case p.Answered:
+		changed = h.takeAnswer(e)
+	case h != nil:
+		changed = h.takeCrash(e)
+	case r.makeRoom(at):
 		h = newHistory()
-		if !r.makeRoom(at) {
-			return false
-		}
 		r.byRequest[p.Fingerprint] = h
+		changed = h.takeCrash(e)
+	}
+	if changed {
+		r.taken++
+	}
+	return changed
+}
+
+// Taken returns how many reports have changed what is known.
+func (r *Record) Taken() uint64 { return r.taken }
+
+// known reports whether a report was seen before, and remembers it.
+func (r *Record) known(k key) bool {
+	if r.seen[k] || r.seenBefore[k] {
+		return true
+	}
+	if len(r.seen) >= maxSeen {
+		r.seen, r.seenBefore = make(map[key]bool), r.seen
 	}
-	return h.takeCrash(lifetime{p.Service, p.Server, p.Born}, at)
+	r.seen[k] = true
+	return false
 }
 
 // makeRoom drops the first request in the order of compare. It reports false
@@ -82,34 +115,28 @@
 	return true
 }
 
-// Reports returns what is to be passed on, in a fixed order.
-func (r *Record) Reports(now time.Time) []Report {
+// Reports returns what is known from the reports taken in after so many others,
+// in the order in which they were.
+func (r *Record) Reports(now time.Time, after uint64) []Report {
 	r.lapse(now)
-	var out []Report
-	for f, h := range r.byRequest {
-		for l, at := range h.crashed {
-			out = append(out, Report{Fingerprint: f, Server: l.server, AgeMs: now.Sub(at).Milliseconds(), Service: l.service, Born: l.born})
+	var events []event
+	for _, h := range r.byRequest {
+		for _, e := range h.crashed {
+			events = append(events, e)
 		}
-		for service, at := range h.answered {
-			out = append(out, Report{Fingerprint: f, AgeMs: now.Sub(at).Milliseconds(), Service: service, Answered: true})
+		for _, e := range h.answered {
+			events = append(events, e)
 		}
 	}
-	slices.SortFunc(out, compare)
-	return out
-}
-
-// compare has crashes before answers, as an answer alone says nothing.
-func compare(a, b Report) int {
-	rank := func(p Report) int {
-		if p.Answered {
-			return 1
-		}
-		return 0
+	events = slices.DeleteFunc(events, func(e event) bool { return e.number <= after })
+	slices.SortFunc(events, func(a, b event) int { return cmp.Compare(a.number, b.number) })
+	var out []Report
+	for _, e := range events {
+		p := e.report
+		p.AgeMs = now.Sub(e.at).Milliseconds()
+		out = append(out, p)
 	}
-	return cmp.Or(
-		cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Service, b.Service),
-		cmp.Compare(a.Server, b.Server), cmp.Compare(a.Born, b.Born),
-	)
+	return out
 }
 
 // Verdicts returns what the reports come to for each request that a server has
--- a/crash/record_test.go
+++ b/crash/record_test.go
@@ -21,7 +21,11 @@
 
 func play(r *Record, fingerprint uint64, list []seen) {
 	for _, s := range list {
-		r.Take(epoch.Add(s.at*time.Millisecond), Report{Fingerprint: fingerprint, Service: s.service, Server: s.server, Answered: s.answered})
+		p := Report{Fingerprint: fingerprint, Service: s.service, Server: s.server, Answered: s.answered}
+		if s.answered {
+			p.Serial = int64(s.at) + 1
+		}
+		r.Take(epoch.Add(s.at*time.Millisecond), p)
 	}
 }
 
@@ -49,7 +53,7 @@
 			now := epoch.Add(10 * time.Millisecond)
 			is.Equal(r.Verdicts(now)[7].Crashed, c.crashed)
 			other := NewRecord("10.0.0.1") // as another host hears of it
-			for _, p := range r.Reports(now) {
+			for _, p := range r.Reports(now, 0) {
 				other.Take(now, p)
 			}
 			is.Equal(other.Verdicts(now), r.Verdicts(now))
@@ -124,7 +128,7 @@
 	}
 	crashes(r, 7, time.Second, Refuse)
 	is.True(r.Verdicts(epoch.Add(4 * time.Second))[7].Refused())
-	is.True(len(r.Reports(epoch.Add(4*time.Second))) <= maxRequests*maxServers)
+	is.True(len(r.Reports(epoch.Add(4*time.Second), 0)) <= maxRequests*maxServers)
 	for f := range uint64(2 * maxRequests) { // and more of them do not push it out
 		crashes(r, 5000+f, 2*time.Second, 2)
 	}
@@ -166,3 +170,47 @@
 		}
 	})
 }
+
+// TestReportsGoRoundOnce plays hosts that tell each other of a request that
+// ended many servers at once, and of many such requests. A report ages by its
+// time on the way each time, and must not count as another one for that.
+func TestReportsGoRoundOnce(t *testing.T) {
+	const (
+		hosts    = 5
+		way      = 300 * time.Millisecond // on a host that is short of processor time
+		requests = 2 * maxRequests
+		servers  = 3 * maxServers
+		rounds   = 200
+	)
+	is := is.New(t)
+	var all []*Record
+	known := make(map[[2]int]uint64)
+	for i := range hosts {
+		all = append(all, NewRecord("10.0.0."+strconv.Itoa(i)))
+	}
+	now := epoch
+	for f := range requests {
+		for s := range servers {
+			all[(f+s)%hosts].Take(now, Report{Fingerprint: uint64(f), Service: "s" + strconv.Itoa(s), Server: strconv.Itoa(s)})
+		}
+		all[f%hosts].Take(now, Report{Fingerprint: uint64(f), Service: "t", Answered: true, Serial: int64(f)})
+	}
+	told, last := 0, 0
+	for round := range rounds {
+		now = now.Add(10 * time.Millisecond)
+		for i, from := range all {
+			for j, to := range all {
+				list := from.Reports(now, known[[2]int{i, j}])
+				known[[2]int{i, j}] = from.Taken()
+				told += len(list)
+				for _, p := range list {
+					if to.Take(now.Add(way), p) {
+						last = round
+					}
+				}
+			}
+		}
+	}
+	is.True(last < 2*hosts)                           // then all is quiet
+	is.True(told <= requests*(servers+1)*hosts*hosts) // each report over each link once at most
+}
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -112,7 +112,7 @@
 		Fingerprint: r.req.Fingerprint, Server: f.server.ID, Born: f.server.Born, Service: f.server.Service, AgeMs: now.Sub(f.at).Milliseconds(),
 	})
 	if r.answered != nil {
-		c.told = append(c.told, crash.Report{Fingerprint: r.req.Fingerprint, Server: r.answered.ID, Service: r.answered.Service, Answered: true})
+		c.told = append(c.told, crash.Report{Fingerprint: r.req.Fingerprint, Server: r.answered.ID, Service: r.answered.Service, Answered: true, Serial: now.UnixNano()})
 	}
 	r.reported = true
 }
--- a/news/crashes.go
+++ b/news/crashes.go
@@ -10,15 +10,27 @@
 // need to be told of them.
 type crashes struct {
 	record *crash.Record
-	// at names the state of the record; it differs from that of an earlier run
-	// of the host.
-	at uint64
+	// first names the state of the empty record; it differs from that of an
+	// earlier run of the host. Each change counts on from it.
+	first uint64
 	// upwards is the state after the last change that upstreams may not know.
 	upwards uint64
 }
 
 func newCrashes(now time.Time, host string) crashes {
-	return crashes{record: crash.NewRecord(host), at: uint64(now.UnixNano())}
+	return crashes{record: crash.NewRecord(host), first: uint64(now.UnixNano())}
+}
+
+// at names the state of the reports.
+func (c *crashes) at() uint64 { return c.first + c.record.Taken() }
+
+// since returns the reports that came after a state, or all where the state is
+// none of this run's.
+func (c *crashes) since(now time.Time, known uint64) []crash.Report {
+	if known < c.first || known > c.at() {
+		known = c.first
+	}
+	return c.record.Reports(now, known-c.first)
 }
 
 // source is where reports come from.
@@ -41,9 +53,8 @@
 		if !c.record.Take(now, p) {
 			continue
 		}
-		c.at++
 		if from != fromUpstream {
-			c.upwards = c.at
+			c.upwards = c.at()
 		}
 		event := "server ended under a request"
 		if p.Answered {
@@ -60,24 +71,19 @@
 
 // CrashesAt names the state of the reports, and the state that upstreams are to
 // be told of at once.
-func (s *State) CrashesAt() (at, upwards uint64) { return s.crashes.at, s.crashes.upwards }
+func (s *State) CrashesAt() (at, upwards uint64) { return s.crashes.at(), s.crashes.upwards }
 
-// addCrashes adds the reports to an update unless the other host has them.
+// addCrashes adds the reports to an update that the other host has not.
 func (s *State) addCrashes(now time.Time, u *Update, known uint64) {
-	u.CrashesAt = s.crashes.at
-	if known != s.crashes.at {
-		u.Crashes = s.crashes.record.Reports(now)
-	}
+	u.CrashesAt, u.Crashes = s.crashes.at(), s.crashes.since(now, known)
 }
 
-// pollCrashes adds the reports to a poll unless the other host has them; last
-// is its last answer, or nil.
+// pollCrashes adds the reports to a poll that the other host has not; last is
+// its last answer, or nil.
 func (s *State) pollCrashes(now time.Time, p *Poll, last *Update) {
-	p.CrashesAt = s.crashes.at
+	var known uint64
 	if last != nil {
-		p.CrashesKnown = last.CrashesAt
-	}
-	if last == nil || last.CrashesKnown != s.crashes.at {
-		p.Crashes = s.crashes.record.Reports(now)
+		p.CrashesKnown, known = last.CrashesAt, last.CrashesKnown
 	}
+	p.CrashesAt, p.Crashes = s.crashes.at(), s.crashes.since(now, known)
 }
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -69,6 +69,9 @@
 	// tickEvery is how often the State is looked at without an event; it is
 	// small against the least bound of 3 s.
 	tickEvery = 100 * time.Millisecond
+	// crashEvery is how often findings of crashes are sent over one link: many
+	// come together when many servers end.
+	crashEvery = 100 * time.Millisecond
 	// settle is how long to wait after changes before the next watch, so that
 	// changes which come together cost one call.
 	settle = 250 * time.Millisecond
--- a/news/feed/link.go
+++ b/news/feed/link.go
@@ -34,6 +34,7 @@
 	next  time.Time
 	// told is the state of the reports of crashes at the last poll.
 	told   uint64
+	polled time.Time
 	closed bool
 }
 
@@ -64,10 +65,11 @@
 		return
 	}
 	at, upwards := f.opts.State.CrashesAt()
-	if now.Before(l.next) && l.told >= upwards {
+	urgent := l.told < upwards && now.Sub(l.polled) >= crashEvery
+	if now.Before(l.next) && !urgent {
 		return
 	}
-	l.told = at
+	l.told, l.polled = at, now
 	l.nonce++
 	l.asked = now
 	l.next = now.Add(f.opts.State.PollEvery())
@@ -171,6 +173,7 @@
 	have int64
 	// crashes is the state of the reports of crashes that it has.
 	crashes uint64
+	told    time.Time
 	push    bool
 	out     chan []byte
 }
@@ -215,7 +218,7 @@
 		}
 		f.post(func(now time.Time) {
 			u := f.opts.State.Answer(now, p)
-			c.have, c.crashes, c.push = u.Revision, u.CrashesAt, p.Push
+			c.have, c.crashes, c.told, c.push = u.Revision, u.CrashesAt, now, p.Push
 			f.sendChild(c, f.encode(u))
 		})
 	}
@@ -269,14 +272,15 @@
 	}
 	sent := make(map[state][]byte)
 	for c := range f.children {
-		if !c.push || c.have == 0 || c.have >= revision && c.crashes == crashes {
+		urgent := c.crashes != crashes && now.Sub(c.told) >= crashEvery
+		if !c.push || c.have == 0 || c.have >= revision && !urgent {
 			continue
 		}
 		has := state{c.have, c.crashes}
 		if sent[has] == nil {
 			sent[has] = f.encode(f.opts.State.News(now, c.have, c.crashes))
 		}
-		c.have, c.crashes = revision, crashes
+		c.have, c.crashes, c.told = revision, crashes, now
 		f.sendChild(c, sent[has])
 	}
 }
--- a/news/news.go
+++ b/news/news.go
@@ -60,8 +60,8 @@
 	// Slow are calls that servers were slow to answer.
 	Slow []Slow `cbor:"8,keyasint,omitempty"`
 	// CrashesAt names the state of the asking host's reports, and CrashesKnown
-	// that of the other host's as the asking one has it. Crashes are left out
-	// where the other host has them.
+	// that of the other host's as the asking one has it. Crashes are those that
+	// came since.
 	CrashesAt    uint64 `cbor:"9,keyasint,omitempty"`
 	CrashesKnown uint64 `cbor:"10,keyasint,omitempty"`
 }
