A host logs what it finds of a crash and what it refuses, not all that it hears

In a mass crash each of 300 hosts would have written a line for every report of every other host: the volume of the log was not bounded. Own findings and refusals say as much; a refusal names the servers, and which hosts found them stands in those hosts' logs.

--- a/crash/record.go
+++ b/crash/record.go
@@ -152,6 +152,18 @@
 	return out
 }
 
+// Servers returns the servers on record that ended under a request.
+func (r *Record) Servers(fingerprint uint64) []string {
+	var out []string
+	if h := r.byRequest[fingerprint]; h != nil {
+		for l := range h.crashed {
+			out = append(out, l.server)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // refusedFor returns how much longer a request is refused under which servers
 // ended at those times. Hosts let it in again one after the other, so that the
 // first one's finding reaches the others.
--- a/news/crashes.go
+++ b/news/crashes.go
@@ -13,12 +13,14 @@
 	// first names the state of the empty record; it differs from that of an
 	// earlier run of the host. Each change counts on from it.
 	first uint64
+	// refused are the requests that this host refuses, for the log.
+	refused map[uint64]bool
 	// upwards is the state after the last change that upstreams may not know.
 	upwards uint64
 }
 
 func newCrashes(now time.Time, host string) crashes {
-	return crashes{record: crash.NewRecord(host), first: uint64(now.UnixNano())}
+	return crashes{record: crash.NewRecord(host), first: uint64(now.UnixNano()), refused: make(map[uint64]bool)}
 }
 
 // at names the state of the reports.
@@ -34,12 +36,12 @@
 }
 
 // source is where reports come from.
-type source string
+type source int
 
 const (
-	fromThisHost source = "this host"
-	fromUpstream source = "upstream"
-	fromBelow    source = "below"
+	fromThisHost source = iota
+	fromUpstream
+	fromBelow
 )
 
 // TakeCrashes takes in what this host has found of requests that crash servers.
@@ -56,17 +58,42 @@
 		if from != fromUpstream {
 			c.upwards = c.at()
 		}
-		event := "server ended under a request"
-		if p.Answered {
-			event = "suspected request answered"
+		if from == fromThisHost {
+			s.logCrash(p)
 		}
-		s.opts.Log(event, "content", crash.FormatFingerprint(p.Fingerprint), "service", p.Service, "server", p.Server, "from", string(from), "age_ms", p.AgeMs)
 	}
 }
 
+func (s *State) logCrash(p crash.Report) {
+	event := "server ended under a request"
+	if p.Answered {
+		event = "suspected request answered"
+	}
+	s.opts.Log(event, "content", crash.FormatFingerprint(p.Fingerprint), "service", p.Service, "server", p.Server, "age_ms", p.AgeMs)
+}
+
 // Crashes returns what the reports of all hosts come to.
 func (s *State) Crashes(now time.Time) map[uint64]crash.Verdict {
-	return s.crashes.record.Verdicts(now)
+	verdicts := s.crashes.record.Verdicts(now)
+	s.logRefusals(verdicts)
+	return verdicts
+}
+
+// logRefusals tells which requests are refused from now on, and which no longer.
+func (s *State) logRefusals(verdicts map[uint64]crash.Verdict) {
+	c := &s.crashes
+	for f, v := range verdicts {
+		if v.Refused() && !c.refused[f] {
+			c.refused[f] = true
+			s.opts.Log("request refused", "content", crash.FormatFingerprint(f), "crashed", v.Crashed, "refused_for_ms", v.RefusedFor.Milliseconds(), "servers", c.record.Servers(f))
+		}
+	}
+	for f := range c.refused {
+		if v := verdicts[f]; !v.Refused() {
+			delete(c.refused, f)
+			s.opts.Log("request let in again", "content", crash.FormatFingerprint(f), "crashed", v.Crashed)
+		}
+	}
 }
 
 // CrashesAt names the state of the reports, and the state that upstreams are to
