Clean-up: reports that nobody lacks are not gathered, twins are one

Read again: each poll and answer gathered and sorted all reports of crashes even where the other host had them; it returns at once now. The report of an answer was built in two places, the soak's way to keep a result and the list of its kinds stood twice, and it made a second index of results by ID. What record of a suspect goes first was one long condition; it has a name. A comment spoke of a case that is no longer there.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -129,13 +129,13 @@
 // compare has requests that are or were refused after all others, then those
 // that crashed a server last.
 func (h *history) compare(o *history) int {
-	switch {
-	case h.enough() != o.enough() && o.enough():
+	if h.enough() == o.enough() {
+		return h.last().Compare(o.last())
+	}
+	if o.enough() {
 		return -1
-	case h.enough() != o.enough():
-		return 1
 	}
-	return h.last().Compare(o.last())
+	return 1
 }
 
 // standing returns when servers ended under the request, without those for
--- a/crash/record.go
+++ b/crash/record.go
@@ -118,6 +118,9 @@
 // Reports returns what is known from the reports taken in after so many others,
 // in the order in which they were.
 func (r *Record) Reports(now time.Time, after uint64) []Report {
+	if after >= r.taken {
+		return nil
+	}
 	r.lapse(now)
 	var events []event
 	for _, h := range r.byRequest {
--- a/forward/attribution.go
+++ b/forward/attribution.go
@@ -58,7 +58,7 @@
 		c.lives(t, x.record.Sent)
 		x.part.answered, r.answered = true, t
 		if r.reported || c.verdicts[r.req.Fingerprint].Crashed > 0 {
-			c.told = append(c.told, crash.Report{Fingerprint: r.req.Fingerprint, Server: t.ID, Service: t.Service, Answered: true, Serial: now.UnixNano()})
+			c.reportAnswer(now, r)
 		}
 	case NotRun:
 		if reply.Moved {
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -112,7 +112,14 @@
 		Fingerprint: r.req.Fingerprint, Server: f.server.ID, Born: f.server.Born, Service: f.server.Service, AgeMs: now.Sub(f.at).Milliseconds(),
 	})
 	if r.answered != nil {
-		c.told = append(c.told, crash.Report{Fingerprint: r.req.Fingerprint, Server: r.answered.ID, Service: r.answered.Service, Answered: true, Serial: now.UnixNano()})
+		c.reportAnswer(now, r)
 	}
 	r.reported = true
 }
+
+// reportAnswer tells the other hosts of the request's latest answer.
+func (c *crashes) reportAnswer(now time.Time, r *run) {
+	c.told = append(c.told, crash.Report{
+		Fingerprint: r.req.Fingerprint, Server: r.answered.ID, Service: r.answered.Service, Answered: true, Serial: now.UnixNano(),
+	})
+}
--- a/news/news.go
+++ b/news/news.go
@@ -81,8 +81,7 @@
 	// Below is the hash of the hosts that the other one said ask it.
 	Below uint64 `cbor:"8,keyasint,omitempty"`
 	Slow  []Slow `cbor:"9,keyasint,omitempty"`
-	// CrashesAt and CrashesKnown are as in a Poll; CrashesAt is 0 where the
-	// reports are not said.
+	// CrashesAt and CrashesKnown are as in a Poll.
 	CrashesAt    uint64 `cbor:"10,keyasint,omitempty"`
 	CrashesKnown uint64 `cbor:"11,keyasint,omitempty"`
 }
--- a/policy/suspects.go
+++ b/policy/suspects.go
@@ -61,6 +61,15 @@
 	times        int
 }
 
+// goesBefore reports whether the record is dropped before another one: those of
+// requests that were never refused first, then the oldest.
+func (x *suspect) goesBefore(o *suspect) bool {
+	if (x.times > 0) != (o.times > 0) {
+		return x.times == 0
+	}
+	return x.last < o.last
+}
+
 // lapsed reports whether the record may be forgotten.
 func (x *suspect) lapsed(at time.Duration) bool {
 	if x.times > 0 {
@@ -229,7 +238,7 @@
 			delete(t.byKey, key)
 			continue
 		}
-		if first == nil || (x.times > 0) != (first.times > 0) && first.times > 0 || (x.times > 0) == (first.times > 0) && x.last < first.last {
+		if first == nil || x.goesBefore(first) {
 			oldest, first = key, x
 		}
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -55,7 +55,7 @@
 			}
 		}
 	}
-	faults = append(faults, h.crashes()...)
+	faults = append(faults, h.crashes(byID)...)
 	for _, x := range h.world.hosts {
 		if x.unasked > 0 {
 			add("%s ended %d times by itself", x.Name, x.unasked)
--- a/soak/client.go
+++ b/soak/client.go
@@ -35,6 +35,8 @@
 	kindGather = "gather" // merged from all shards
 )
 
+var kinds = []string{kindOnce, kindRepeat, kindGather}
+
 const hostName = "soak.example"
 
 // requestTimeout is how long clients wait; the routes' time-outs are shorter.
@@ -67,16 +69,20 @@
 	defer t.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := c.hosts[random.IntN(len(c.hosts))]
-		kind := []string{kindOnce, kindRepeat, kindGather}[random.IntN(3)]
+		kind := kinds[random.IntN(len(kinds))]
 		id := fmt.Sprintf("%08x%04x%06x", random.Uint32(), number, i)
 		r := c.send(t, h, kind, id, id)
-		c.mu.Lock()
-		c.results = append(c.results, r)
-		c.mu.Unlock()
+		c.add(r)
 		time.Sleep(time.Duration(random.Int64N(int64(2 * c.pause))))
 	}
 }
 
+func (c *clients) add(r result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.results = append(c.results, r)
+}
+
 // send sends a request; its content names what it does, its id the attempt.
 func (c *clients) send(t *http.Transport, h *host, kind, id, content string) result {
 	r := result{id: id, host: h, kind: kind, path: "/" + kind + "/" + content + "?a=%2F&b", sent: time.Now()}
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -28,13 +28,10 @@
 func (c *clients) crashing(ctx context.Context, random *rand.Rand) {
 	t := &http.Transport{DisableCompression: true}
 	defer t.CloseIdleConnections()
-	kind := []string{kindOnce, kindRepeat, kindGather}[random.IntN(3)]
+	kind := kinds[random.IntN(len(kinds))]
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(time.Duration(random.Int64N(int64(crashPause))))
-		r := c.send(t, c.hosts[random.IntN(len(c.hosts))], kind, fmt.Sprintf("%s%06x", crashContent, i), crashContent)
-		c.mu.Lock()
-		c.results = append(c.results, r)
-		c.mu.Unlock()
+		c.add(c.send(t, c.hosts[random.IntN(len(c.hosts))], kind, fmt.Sprintf("%s%06x", crashContent, i), crashContent))
 	}
 }
 
@@ -78,12 +75,8 @@
 
 // crashes checks that a request that ends servers reaches no more of them once
 // it has ended three.
-func (h *history) crashes() []string {
+func (h *history) crashes(byID map[string]*result) []string {
 	var all []execution
-	hosts := make(map[string]*host)
-	for i := range h.results {
-		hosts[h.results[i].id] = h.results[i].host
-	}
 	for _, runs := range h.runs {
 		for _, x := range runs {
 			if strings.Contains(x.path, "/"+crashContent+"?") {
@@ -98,9 +91,9 @@
 	third := all[2].at
 	var late []string
 	for _, x := range all {
-		host := hosts[x.request]
-		if x.at.Sub(third) > settleTime && host != nil && host.calm(x.at.Add(-settleTime), x.at, false) {
-			late = append(late, fmt.Sprintf("%s at %s by %s", x.request, x.server, host.Name))
+		r := byID[x.request]
+		if x.at.Sub(third) > settleTime && r != nil && r.host.calm(x.at.Add(-settleTime), x.at, false) {
+			late = append(late, fmt.Sprintf("%s at %s by %s", x.request, x.server, r.host.Name))
 		}
 	}
 	h.world.notes.add("the request that ends servers reached %d, %d of them late, from hosts left alone", len(all), len(late))
