Servers that leave take what no other can, until their bounds

Cause: a server that leaves, or whose data centre is evacuated, was dropped at the first word, although it answers for drain_ms after the store took that word (evacuated ones may get work for evacuate_ms).

They get calls where no server that stays takes one, until the bound counted from when the store is last known not to have held the word (news.State.before), less 500 ms; asked once more right before the first byte.

Restricting it to services without any other server was not tried: a server that is full at a host counts as one that does not take the call.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -36,7 +36,7 @@
 	w.balancer = policy.NewBalancer(w.now, policy.BalancerOptions{
 		Address: "10.1.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 600, RetryWindow: 10 * time.Second,
 	})
-	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]bool{}}
+	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]time.Time{}}
 	for _, s := range services {
 		p.Config.Services[s] = route.Service{Name: s, MaxConnections: 60}
 		for i, dc := range []string{"a", "b", "c"} {
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -43,7 +43,7 @@
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(3, 4)), servers: make(map[string]*fleetServer),
 		started: make(map[fleetCall]time.Time), rt: rt,
 	}
-	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]bool{}}
+	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]time.Time{}}
 	for i, shard := range rt.Gather {
 		p.Config.Services[shard] = route.Service{Name: shard, MaxConnections: 46}
 		for j, dc := range []string{"a", "b", "c"} {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,6 +82,8 @@
 	// Careful calls may not run twice: they take no connection that the
 	// server may be closing.
 	Careful bool
+	// LastResort is set where the server leaves and no other took the call.
+	LastResort bool
 }
 
 // Cancel gives a call up. With After it may end by itself until then.
@@ -263,6 +265,12 @@
 		e.record(c.part.run.req.Route).observe(now, c, reply)
 	}
 	e.opts.Balancer.Done(now, c.record, result)
+	if reply.Leaving {
+		e.opts.Balancer.SaidLeaving(now, c.target)
+	}
+	if reply.LeaveAlone > 0 {
+		e.opts.Balancer.SaidAlone(now, c.target, reply.LeaveAlone)
+	}
 	if reply.Outcome == Broken {
 		c.part.run.broken++
 	}
--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -366,6 +366,9 @@
 		}
 	}
 	h.state.TakeCrashes(f.now, reports)
+	for _, x := range h.balancer.TakeSaid() {
+		h.state.TakeLeaving(f.now, []news.Leaving{news.NewLeaving(x.Server, f.now.Sub(x.At))})
+	}
 	if p, changed := h.state.Picture(f.now); changed {
 		h.balancer.ApplyPicture(f.now, p)
 		f.take(h, h.engine.ServersChanged(f.now))
@@ -427,7 +430,7 @@
 	s := f.byPlace[c.send.Target.Address]
 	switch {
 	case f.now.Before(c.host.frozen):
-		f.events.add(c.host.frozen, func() { f.arrive(c) })
+		f.events.add(c.host.frozen, func() { f.thaw(c) })
 		return
 	case !s.up && f.shape.silent:
 		f.events.add(f.now.Add(fleetDial), func() { f.end(c, Reply{Outcome: NotSent, Detail: "not sent: timed out"}) })
@@ -459,6 +462,15 @@
 	f.work(s)
 }
 
+// thaw plays a call that a host was about to write when it froze.
+func (f *hostFleet) thaw(c *hostCall) {
+	if c.engine == c.host.engine && !c.host.balancer.Takes(f.now, c.send.Target) {
+		f.end(c, Reply{Outcome: NotSent, Detail: "not sent: the server takes no more requests"})
+		return
+	}
+	f.arrive(c)
+}
+
 func (f *hostFleet) later(c *hostCall, r Reply) {
 	f.events.add(f.now.Add(fleetWay), func() { f.end(c, r) })
 }
--- a/forward/sim_test.go
+++ b/forward/sim_test.go
@@ -131,7 +131,7 @@
 }
 
 func (s *sim) publish() {
-	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]bool{}}
+	p := &route.Picture{Config: &route.Config{Services: map[string]route.Service{}}, Evacuated: map[string]time.Time{}}
 	for _, x := range s.servers {
 		p.Config.Services[x.Service] = route.Service{Name: x.Service, MaxConnections: 60}
 		p.Servers = append(p.Servers, x.Server)
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -26,6 +26,9 @@
 	// refusing and taking count the servers looked at after a broken call.
 	crashes          *metrics.Counter
 	refusing, taking *metrics.Counter
+	// lastResort counts calls to servers that leave, leaving and alone the
+	// answers that say so or ask for the host to stay away.
+	lastResort, leaving, alone *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -37,10 +40,22 @@
 	c.crashes = c.set.NewCounter("figmast_crashes_found_total")
 	c.refusing = c.set.NewCounter(`figmast_server_checks_total{result="refuses"}`)
 	c.taking = c.set.NewCounter(`figmast_server_checks_total{result="takes"}`)
+	c.lastResort = c.set.NewCounter("figmast_last_resort_calls_total")
+	c.leaving = c.set.NewCounter(`figmast_server_words_total{word="leaving"}`)
+	c.alone = c.set.NewCounter(`figmast_server_words_total{word="leave_alone"}`)
 	return c
 }
 
-func (c *counters) call(r forward.Reply, took time.Duration) {
+func (c *counters) call(s forward.Send, r forward.Reply, took time.Duration) {
+	if s.LastResort {
+		c.lastResort.Inc()
+	}
+	if r.Leaving {
+		c.leaving.Inc()
+	}
+	if r.LeaveAlone > 0 {
+		c.alone.Inc()
+	}
 	c.calls[r.Outcome].Inc()
 	c.callTimes.Update(took.Seconds())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,6 +75,7 @@
 	balancer := policy.NewBalancer(g.started, policy.BalancerOptions{
 		Address: s.Address, DataCentre: s.DataCentre, Regions: s.Regions, Rand: random,
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		DrainFor: s.DrainFor, EvacuateFor: s.EvacuateFor,
 	})
 	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, Processor: s.Processor, Heartbeat: s.Heartbeat})
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.counts)
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -105,6 +105,9 @@
 			Server: s.Server, FirstMs: now.Sub(s.From).Milliseconds(), LastMs: now.Sub(s.To).Milliseconds(),
 		})
 	}
+	for _, s := range r.balancer.TakeSaid() {
+		seen.Leaving = append(seen.Leaving, news.NewLeaving(s.Server, now.Sub(s.At)))
+	}
 	return seen
 }
 
@@ -199,9 +202,10 @@
 	answer, state, err := r.pool.Do(ctx, http1.Call{
 		Peer: peerOf(s.Target.Server), Method: q.method, ID: q.id, Deadline: s.Deadline, MostBytes: q.mostBytes(), Careful: s.Careful, KeepIdle: s.Target.KeepIdle(),
 		Bytes: func(left time.Duration) []byte { return q.bytes(r.headers, s.Target.ID, left) },
+		Guard: func() bool { return r.takes(s.Target) },
 	})
 	reply := r.reply(answer, state, err)
-	r.counts.call(reply, r.now().Sub(began))
+	r.counts.call(s, reply, r.now().Sub(began))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if cancel := r.cancels[s.Call]; cancel != nil {
@@ -211,6 +215,14 @@
 	r.act(r.engine.Reply(r.now(), s.Call, reply))
 }
 
+// takes reports whether a call may still be written to a server. Opening a
+// connection, or a suspension of the machine, may have taken long.
+func (r *runner) takes(t *policy.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.balancer.Takes(r.now(), t)
+}
+
 // check looks whether a server refuses connections and tells the engine.
 func (r *runner) check(c forward.Check) {
 	defer r.done.Done()
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,6 +40,11 @@
 	ApplyWithin time.Duration
 	// Heartbeat is how often backend servers renew their entries.
 	Heartbeat time.Duration
+	// DrainFor and EvacuateFor are how long backend servers that leave, and
+	// those of an evacuated data centre, may get requests after the metadata
+	// store has taken the word.
+	DrainFor    time.Duration
+	EvacuateFor time.Duration
 
 	// RetryRatio and RetrySlack bound the calls beyond the first of each
 	// request, over all hosts, in RetryWindow.
@@ -55,6 +60,9 @@
 	Signature    string
 	ExpectServer string
 	NotRun       string
+	// Leaving marks, with the value 1, the answers of a backend server that is
+	// about to leave.
+	Leaving string
 	// Signatures and Missing describe a merged answer.
 	Signatures string
 	Missing    string
--- a/http1/call.go
+++ b/http1/call.go
@@ -43,7 +43,10 @@
 	Guard func() bool
 }
 
-var errLate = errors.New("the deadline passed before the request was sent")
+var (
+	errLate  = errors.New("the deadline passed before the request was sent")
+	errGuard = errors.New("the server took no more requests when this one was to be sent")
+)
 
 // Do makes the call once.
 func (p *Pool) Do(ctx context.Context, call Call) (*Answer, State, error) {
@@ -59,10 +62,14 @@
 		}
 	}
 	left := call.Deadline.Sub(p.opts.Now())
-	if left <= 0 || ctx.Err() != nil || call.Guard != nil && !call.Guard() {
+	if left <= 0 || ctx.Err() != nil {
 		p.close(c)
 		return nil, NotSent, errLate
 	}
+	if call.Guard != nil && !call.Guard() {
+		p.close(c)
+		return nil, NotSent, errGuard
+	}
 	return p.exchange(ctx, c, call, left)
 }
 
--- a/news/entries.go
+++ b/news/entries.go
@@ -1,6 +1,10 @@
 package news
 
-import "time"
+import (
+	"time"
+
+	"github.com/figmast/figmast/route"
+)
 
 // full replaces every entry that is not newer than the revision.
 func (s *State) full(now time.Time, items []Item, revision int64) {
@@ -49,6 +53,10 @@
 	case e.kind == KindServer:
 		s.putServer(now, old, e)
 	case e.kind == KindEvacuation:
+		e.since = s.before
+		if old != nil && !old.Deleted {
+			e.since = old.since
+		}
 		s.opts.Log("evacuation changed", "data_centre", e.name, "out", !it.Deleted, "revision", it.Revision)
 	}
 }
@@ -83,11 +91,24 @@
 		return
 	}
 	s.born[srv.ID] = srv.Born
+	srv.DrainingSince = s.drainingSince(old, srv)
 	e.server = srv
 	s.opts.Log("server registered", "server", srv.ID, "service", srv.Service, "address", srv.Address,
 		"data_centre", srv.DataCentre, "draining", srv.Draining, "revision", e.Revision)
 }
 
+// drainingSince returns a time before which the store did not hold that the
+// server drains, or zero. An entry that was gone may have said so before.
+func (s *State) drainingSince(old *entry, srv route.Server) time.Time {
+	switch {
+	case !srv.Draining, old != nil && old.Deleted:
+		return time.Time{}
+	case old != nil && old.server.Draining && old.server.Key() == srv.Key():
+		return old.server.DrainingSince
+	}
+	return s.before
+}
+
 // removeServer keeps a server for a while that went missing while the store
 // was away: it may be back as soon as it can register again.
 func (s *State) removeServer(now time.Time, old, e *entry) {
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -62,6 +62,7 @@
 // Seen is what a host tells the others of its calls.
 type Seen struct {
 	Slow    []news.Slow
+	Leaving []news.Leaving
 	Crashes []crash.Report
 }
 
@@ -173,6 +174,7 @@
 	seen := f.opts.Changed(b)
 	s.TakeSlow(now, seen.Slow)
 	s.TakeCrashes(now, seen.Crashes)
+	s.TakeLeaving(now, seen.Leaving)
 	f.push(now)
 }
 
--- /dev/null
+++ b/news/leaving_test.go
@@ -0,0 +1,103 @@
+package news
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/route"
+)
+
+// TestSinceWhenServersLeave: what counts is when the store is last known not to
+// have held the word, however late it comes here.
+func TestSinceWhenServersLeave(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := NewState(now, Options{Address: "10.0.0.1", Decoder: plain{}, ApplyWithin: testApply, Heartbeat: time.Second})
+	since := func(id string) time.Time {
+		p, _ := s.Picture(now)
+		for _, v := range p.Servers {
+			if v.ID == id {
+				return v.DrainingSince
+			}
+		}
+		t.Fatalf("no server %s", id)
+		return time.Time{}
+	}
+	out := func() time.Time {
+		p, _ := s.Picture(now)
+		return p.Evacuated["b"]
+	}
+	s.TakeRange(now, now, []Item{
+		{Key: "server/x", Value: []byte("5"), Revision: 1}, {Key: "server/old", Value: []byte("-5"), Revision: 2},
+		{Key: "server/y", Value: []byte("5"), Revision: 3}, {Key: "out/b", Value: []byte("{}"), Revision: 4},
+	}, 4, false)
+	is.True(since("old").IsZero()) // it may have left long ago
+	is.True(out().IsZero())
+	first := now
+
+	now = now.Add(700 * time.Millisecond)
+	s.TakeWatch(now, now, []Item{{Key: "server/x", Value: []byte("-5"), Revision: 5}, {Key: "out/b", Revision: 6, Deleted: true}}, 6)
+	is.Equal(since("x"), first)
+	second := now
+
+	now = now.Add(time.Second)
+	s.TakeUpdate(now, time.Time{}, &Update{Revision: 8, AgeMs: 0, Items: []Item{ // sent unasked
+		{Key: "server/x", Value: []byte("-5"), Revision: 7}, {Key: "out/b", Value: []byte("{}"), Revision: 8},
+	}})
+	is.Equal(since("x"), first) // as before
+	is.Equal(out(), second)     // a second evacuation
+
+	now = now.Add(time.Second)
+	s.TakeUpdate(now, now, &Update{Revision: 12, AgeMs: 300, Items: []Item{
+		{Key: "server/x", Value: []byte("-6"), Revision: 9}, {Key: "server/y", Revision: 10, Deleted: true},
+		{Key: "out/b", Value: []byte("{}"), Revision: 11}, {Key: "server/z", Value: []byte("-1"), Revision: 12},
+	}})
+	is.Equal(since("x"), second) // another lifetime
+	is.Equal(since("z"), second)
+	is.Equal(out(), second)
+	s.TakeWatch(now, now, []Item{{Key: "server/y", Value: []byte("-5"), Revision: 13}}, 13)
+	is.True(since("y").IsZero()) // it was gone before
+}
+
+// TestLeavingIsTold: what a server says of leaving reaches every host, holds
+// for that lifetime and is no longer told once its entry says it.
+func TestLeavingIsTold(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9, 1)
+	f.store.put("server/x", "5")
+	f.run(4 * time.Second)
+	told := func(address string) bool {
+		p, _ := f.hosts[address].state.Picture(f.now)
+		return len(p.Servers) == 1 && !p.Servers[0].ToldLeaving.IsZero()
+	}
+	var one *testHost
+	for _, h := range f.hosts {
+		one = h
+	}
+	one.state.TakeLeaving(f.now, []Leaving{NewLeaving(route.Key{ID: "x", Born: 5}, 0), NewLeaving(route.Key{ID: "x", Born: 4}, 0)})
+	f.run(testApply)
+	for address := range f.hosts {
+		is.True(told(address))
+	}
+	f.startHost(f.order[0]) // it hears of it from the others
+	f.run(testApply)
+	is.True(told(f.order[0]))
+
+	f.store.put("server/x", "-5")
+	f.run(testApply)
+	for _, h := range f.hosts {
+		is.Equal(len(h.state.leavingNotes(f.now)), 0)
+	}
+	f.store.put("server/x", "6") // the next lifetime
+	f.run(testApply)
+	for address := range f.hosts {
+		is.True(!told(address))
+	}
+	f.run(leavingFor)
+	for _, h := range f.hosts {
+		_, _ = h.state.Picture(f.now)
+		is.Equal(len(h.state.leaving), 0)
+	}
+}
--- a/news/news.go
+++ b/news/news.go
@@ -64,6 +64,8 @@
 	// came since.
 	CrashesAt    uint64 `cbor:"9,keyasint,omitempty"`
 	CrashesKnown uint64 `cbor:"10,keyasint,omitempty"`
+	// Leaving are servers that have said that they leave.
+	Leaving []Leaving `cbor:"11,keyasint,omitempty"`
 }
 
 // Update answers a Poll; one with nonce 0 was not asked for.
@@ -82,8 +84,9 @@
 	Below uint64 `cbor:"8,keyasint,omitempty"`
 	Slow  []Slow `cbor:"9,keyasint,omitempty"`
 	// CrashesAt and CrashesKnown are as in a Poll.
-	CrashesAt    uint64 `cbor:"10,keyasint,omitempty"`
-	CrashesKnown uint64 `cbor:"11,keyasint,omitempty"`
+	CrashesAt    uint64    `cbor:"10,keyasint,omitempty"`
+	CrashesKnown uint64    `cbor:"11,keyasint,omitempty"`
+	Leaving      []Leaving `cbor:"12,keyasint,omitempty"`
 }
 
 // Note names a host to others.
--- a/news/state.go
+++ b/news/state.go
@@ -43,12 +43,17 @@
 	// the same as far as other hosts have told.
 	confirmed time.Time
 	relayed   time.Time
+	// before is what confirmed was when the changes came that are being taken
+	// in: the store did not hold them then. It is zero where nothing was known.
+	before time.Time
 	// returned is when the store was heard of again after a long silence.
 	returned time.Time
 
 	members members
 	crashes crashes
 	slow    map[string]slowSpan
+	// leaving is when servers said first that they leave.
+	leaving map[route.Key]time.Time
 
 	picture *route.Picture
 	dirty   bool
@@ -62,6 +67,9 @@
 	name   string
 	server route.Server
 	broken bool
+	// since is a time before which the store did not hold the evacuation, or
+	// that the server drains; it is zero where none is known.
+	since time.Time
 	// lapsedUntil is set for a removed server that is kept for a while.
 	lapsedUntil time.Time
 }
@@ -85,6 +93,7 @@
 	s := &State{
 		opts: opts, started: now, entries: make(map[string]*entry), born: make(map[string]int64),
 		crashes: newCrashes(now, opts.Address), slow: make(map[string]slowSpan),
+		leaving: make(map[route.Key]time.Time),
 	}
 	s.members = newMembers(now, opts)
 	return s
@@ -103,6 +112,7 @@
 
 // TakeRange takes in a full read of the store that was asked for at asked.
 func (s *State) TakeRange(now, asked time.Time, items []Item, revision int64, stale bool) {
+	s.noteBefore()
 	s.full(now, items, revision)
 	if !stale {
 		s.confirm(now, asked)
@@ -111,6 +121,7 @@
 
 // TakeWatch takes in the answer at now to a watch that was asked for at asked.
 func (s *State) TakeWatch(now, asked time.Time, items []Item, revision int64) {
+	s.noteBefore()
 	s.confirm(now, s.watchedUntil(now, asked, len(items) > 0))
 	s.delta(now, items, revision)
 }
@@ -118,6 +129,7 @@
 // TakeUpdate takes in what another host said; asked is when the poll that it
 // answers was sent, or zero.
 func (s *State) TakeUpdate(now, asked time.Time, u *Update) {
+	s.noteBefore()
 	if u.AgeMs >= 0 && !asked.IsZero() {
 		at := asked.Add(-time.Duration(u.AgeMs) * time.Millisecond)
 		if at.After(s.relayed) {
@@ -135,6 +147,16 @@
 	}
 	s.takeCrashes(now, fromUpstream, u.Crashes)
 	s.TakeSlow(now, u.Slow)
+	s.TakeLeaving(now, u.Leaving)
+}
+
+// noteBefore notes until when the store is known to have held nothing newer
+// than the State.
+func (s *State) noteBefore() {
+	s.before = s.confirmed
+	if s.revision == 0 {
+		s.before = time.Time{}
+	}
 }
 
 // confirm notes that the store held nothing newer at that time.
@@ -158,18 +180,21 @@
 			s.opts.Log("server gone", "server", e.name, "service", e.server.Service)
 		}
 	}
+	s.forgetLeaving(now)
 	if !s.dirty {
 		return s.picture, false
 	}
 	s.dirty = false
-	p := &route.Picture{Config: s.config, Evacuated: make(map[string]bool)}
+	p := &route.Picture{Config: s.config, Evacuated: make(map[string]time.Time)}
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
 		e := s.entries[key]
 		switch {
 		case e.kind == KindEvacuation && !e.Deleted:
-			p.Evacuated[e.name] = true
+			p.Evacuated[e.name] = e.since
 		case e.kind == KindServer && !e.broken && (!e.Deleted || !e.lapsedUntil.IsZero()):
-			p.Servers = append(p.Servers, e.server)
+			v := e.server
+			v.ToldLeaving = s.leaving[v.Key()]
+			p.Servers = append(p.Servers, v)
 		}
 	}
 	s.picture = p
@@ -181,6 +206,7 @@
 	s.members.polled(now, p)
 	s.takeCrashes(now, fromBelow, p.Crashes)
 	s.TakeSlow(now, p.Slow)
+	s.TakeLeaving(now, p.Leaving)
 	u := s.News(now, p.Have, p.CrashesKnown)
 	u.Nonce, u.CrashesKnown = p.Nonce, p.CrashesAt
 	u.Below = hashOf(s.members.below[p.From.Address].list)
@@ -193,7 +219,7 @@
 // News returns what has changed after a revision and a state of the reports of
 // crashes.
 func (s *State) News(now time.Time, have int64, crashesKnown uint64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowNotes(now)}
+	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowNotes(now), Leaving: s.leavingNotes(now)}
 	s.addCrashes(now, u, crashesKnown)
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
@@ -209,7 +235,7 @@
 
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Slow: s.slowNotes(now), Push: push}
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Slow: s.slowNotes(now), Leaving: s.leavingNotes(now), Push: push}
 	s.pollCrashes(now, p, last)
 	m := &s.members
 	m.lapse(now)
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -16,7 +16,7 @@
 )
 
 // plain decodes entries of the tests: configurations are a version, servers a
-// start time.
+// start time, which is negative while they drain.
 type plain struct{}
 
 func (plain) Classify(key string) (Kind, string) {
@@ -39,6 +39,9 @@
 func (plain) Server(id string, b []byte) (route.Server, error) {
 	s := route.Server{ID: id, Service: "s"}
 	err := json.Unmarshal(b, &s.Born)
+	if s.Born < 0 {
+		s.Born, s.Draining = -s.Born, true
+	}
 	return s, err
 }
 
@@ -333,7 +336,8 @@
 	is.True(changed)
 	is.Equal(p.Config.Version, int64(7))
 	is.Equal(len(p.Servers), 1) // a broken entry names no server, the others hold
-	is.True(p.Evacuated["b"])
+	_, out := p.Evacuated["b"]
+	is.True(out)
 
 	s.TakeWatch(now, now, []Item{
 		{Key: "config", Value: []byte("6"), Revision: 7},   // older than what is in force
@@ -343,7 +347,8 @@
 	p, _ = s.Picture(now)
 	is.Equal(p.Config.Version, int64(7))
 	is.Equal(len(p.Servers), 0)
-	is.True(!p.Evacuated["b"])
+	_, out = p.Evacuated["b"]
+	is.True(!out)
 
 	// A range drops what it does not hold, but nothing newer than itself.
 	s.TakeWatch(now, now, []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, 12)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -59,6 +59,11 @@
 
 	slow     map[string]SlowSpan
 	toldSlow map[string]bool
+	// words are those of lifetimes that are not published now, which may come
+	// back when the metadata store does.
+	words map[route.Key]word
+	// said are words that the other hosts have not been told of.
+	said []Said
 }
 
 // targets are the backend servers of one service.
@@ -74,6 +79,7 @@
 	b := &Balancer{
 		opts: opts, self: xxhash.Sum64String(opts.Address), start: now,
 		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target), slow: make(map[string]SlowSpan),
+		words: make(map[route.Key]word),
 	}
 	b.hosts, b.local, b.most = []uint64{b.self}, 1, fewestHosts
 	return b
@@ -91,8 +97,12 @@
 	seen := make(map[route.Key]bool, len(p.Servers))
 	for _, s := range p.Servers {
 		t := b.target(now, p, s)
-		t.Draining, t.Slots = s.Draining, s.Slots
-		t.out = s.Draining || p.Evacuated[s.DataCentre]
+		t.Draining, t.DrainingSince, t.ToldLeaving, t.Slots = s.Draining, s.DrainingSince, s.ToldLeaving, s.Slots
+		t.evacuated, t.evacuatedSince = false, time.Time{}
+		if since, ok := p.Evacuated[s.DataCentre]; ok {
+			t.evacuated, t.evacuatedSince = true, since
+		}
+		b.setLeaving(t)
 		if s.Cold != t.Cold {
 			t.Cold, t.coldUntil = s.Cold, now.Add(s.Cold)
 		}
@@ -100,8 +110,9 @@
 	}
 	for key, t := range b.byKey {
 		if !seen[key] {
-			t.out, t.gone = true, true
+			t.gone = true
 			delete(b.byKey, key)
+			b.keepWord(now, t)
 		}
 	}
 	b.share(now)
@@ -119,8 +130,14 @@
 	}
 	t := b.byKey[s.Key()]
 	if t == nil || t.pool != pool {
+		said := b.words[s.Key()]
+		if t != nil {
+			said = t.word
+		}
+		delete(b.words, s.Key())
 		t = newTarget(now, pool, s)
 		t.local = s.DataCentre == b.opts.DataCentre
+		t.word = said
 		b.byKey[s.Key()] = t
 	}
 	pool.list = append(pool.list, t)
@@ -152,11 +169,28 @@
 	if pool == nil {
 		return nil, NoServer
 	}
+	t, reason := b.cheapest(now, pool, c, false)
+	if t != nil {
+		return t, Picked
+	}
+	t, last := b.cheapest(now, pool, c, true)
+	if t != nil {
+		return t, Picked
+	}
+	if hope(last) > hope(reason) {
+		reason = last
+	}
+	return nil, reason
+}
+
+// cheapest returns the server of least cost among those that stay or among
+// those that leave, or nil and why.
+func (b *Balancer) cheapest(now time.Time, pool *targets, c Choice, leaving bool) (*Target, Reason) {
 	var best *Target
 	least, ties, reason := 0.0, 0, NoServer
 	at := b.at(now)
 	for _, t := range pool.list {
-		if slices.Contains(c.Tried, t) || len(c.Homes) > 0 && !slices.Contains(c.Homes, b.opts.Regions[t.DataCentre]) {
+		if t.leaving != leaving || slices.Contains(c.Tried, t) || len(c.Homes) > 0 && !slices.Contains(c.Homes, b.opts.Regions[t.DataCentre]) {
 			continue
 		}
 		if why := b.refuses(now, at, t, c.Spare); why != Picked {
@@ -185,8 +219,10 @@
 // refuses tells why a server may not get a call now.
 func (b *Balancer) refuses(now time.Time, at time.Duration, t *Target, spare bool) Reason {
 	switch {
-	case t.out:
+	case t.out(now):
 		return AllOut
+	case t.asksAlone(now):
+		return AllAsked
 	case t.health.ejected(at):
 		return AllDown
 	case len(t.calls) >= t.limit:
@@ -305,7 +341,7 @@
 	}
 	at := b.at(now)
 	for _, t := range pool.list {
-		if !t.out && !t.health.ejected(at) {
+		if !t.out(now) && !t.asksAlone(now) && !t.health.ejected(at) {
 			usable++
 			room += t.limit
 		}
--- a/policy/balancer_test.go
+++ b/policy/balancer_test.go
@@ -27,7 +27,7 @@
 func testPicture(servers ...route.Server) *route.Picture {
 	p := &route.Picture{
 		Config:    &route.Config{Services: map[string]route.Service{"s": {Name: "s", MaxConnections: 84, ColdRate: 10}}},
-		Evacuated: map[string]bool{},
+		Evacuated: map[string]time.Time{},
 	}
 	for _, s := range servers {
 		s.Service, s.Slots = "s", 6
@@ -63,7 +63,7 @@
 	_, why := choose(Choice{Homes: []string{"r3"}})
 	is.Equal(why, NoServer)
 
-	p.Evacuated["a"] = true
+	p.Evacuated["a"] = time.Time{}
 	b.ApplyPicture(now, p)
 	id, _ = choose(Choice{})
 	is.True(id != "1")
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -31,6 +31,7 @@
 	AllBusy      Reason = "all_busy"      // limits of all servers reached
 	AllDown      Reason = "all_down"      // no server can be reached
 	AllCold      Reason = "all_cold"      // allowance of cold servers reached
+	AllAsked     Reason = "all_asked"     // all have asked to be left alone
 	Suspect      Reason = "crash_suspect" // the request has crashed servers
 	StaleView    Reason = "stale_view"    // the view may not be acted on
 	UnknownLeaf  Reason = "unknown_leaf"
@@ -194,10 +195,12 @@
 		return 1
 	case AllDown:
 		return 2
-	case AllCold:
+	case AllAsked:
 		return 3
-	case AllBusy:
+	case AllCold:
 		return 4
+	case AllBusy:
+		return 5
 	}
 	return 0
 }
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -71,7 +71,7 @@
 	var first *Target
 	for _, t := range pool.list {
 		t.other = false
-		if t.local || t.out || !t.scarce {
+		if t.local || t.gone || t.leaving || !t.scarce {
 			continue
 		}
 		t.other = true
--- /dev/null
+++ b/policy/leaving_test.go
@@ -0,0 +1,151 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/route"
+)
+
+// leavingBalancer returns a balancer in data centre a with the bounds of the
+// small deployments.
+func leavingBalancer(now time.Time) *Balancer {
+	b := testBalancer(now, "10.0.0.0", "a", 9)
+	b.opts.DrainFor, b.opts.EvacuateFor = 3*time.Second, 5*time.Second
+	return b
+}
+
+// TestServersThatLeaveAreALastResort: they get calls while no server that
+// stays takes them, until their bounds less what a call takes to arrive.
+func TestServersThatLeaveAreALastResort(t *testing.T) {
+	start := time.Unix(1000, 0)
+	drain := func(p *route.Picture, since time.Time, servers ...int) {
+		for _, i := range servers {
+			p.Servers[i].Draining, p.Servers[i].DrainingSince = true, since
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		leave func(b *Balancer, p *route.Picture)
+		after time.Duration
+		want  string
+		why   Reason
+	}{
+		{"a server that stays goes first", func(_ *Balancer, p *route.Picture) { drain(p, start, 0, 1) }, 0, "3", Picked},
+		{"none stays", func(_ *Balancer, p *route.Picture) { drain(p, start, 0, 1, 2) }, 0, "1", Picked},
+		{"none stays, within the bound", func(_ *Balancer, p *route.Picture) { drain(p, start, 0, 1, 2) }, 2400 * time.Millisecond, "1", Picked},
+		{"none stays, at the bound", func(_ *Balancer, p *route.Picture) { drain(p, start, 0, 1, 2) }, 2500 * time.Millisecond, "", AllOut},
+		{"since when is not known", func(_ *Balancer, p *route.Picture) { drain(p, time.Time{}, 0, 1, 2) }, 0, "", AllOut},
+		{"the news were old", func(_ *Balancer, p *route.Picture) { drain(p, start.Add(-2*time.Second), 0, 1, 2) }, 600 * time.Millisecond, "", AllOut},
+		{"all evacuated", func(_ *Balancer, p *route.Picture) {
+			p.Evacuated = map[string]time.Time{"a": start, "b": start, "c": start}
+		}, 4400 * time.Millisecond, "1", Picked},
+		{"all evacuated, at the bound", func(_ *Balancer, p *route.Picture) {
+			p.Evacuated = map[string]time.Time{"a": start, "b": start, "c": start}
+		}, 4500 * time.Millisecond, "", AllOut},
+		{"evacuated and draining", func(_ *Balancer, p *route.Picture) {
+			p.Evacuated = map[string]time.Time{"a": start, "b": start, "c": start}
+			drain(p, start, 0)
+		}, 3 * time.Second, "2", Picked},
+		{"the one that stays is down", func(b *Balancer, p *route.Picture) {
+			drain(p, start, 0, 1)
+			for range 9 { // left alone for 5 s
+				b.Done(start, b.Begin(start, b.byKey[p.Servers[2].Key()], 0, true), ResultFailed)
+			}
+		}, time.Second, "1", Picked},
+		{"the one that stays asked to be left alone", func(b *Balancer, p *route.Picture) {
+			drain(p, start, 0, 1)
+			b.SaidAlone(start, b.byKey[p.Servers[2].Key()], 2*time.Second)
+		}, time.Second, "1", Picked},
+		{"by its own word", func(b *Balancer, p *route.Picture) {
+			b.SaidLeaving(start, b.byKey[p.Servers[0].Key()])
+			drain(p, start, 1, 2)
+		}, time.Second, "1", Picked},
+		{"by its own word, for good", func(b *Balancer, p *route.Picture) {
+			b.SaidLeaving(start, b.byKey[p.Servers[0].Key()])
+			drain(p, start, 1, 2)
+		}, 3 * time.Second, "", AllOut},
+		{"by what it told another host", func(_ *Balancer, p *route.Picture) {
+			for i := range p.Servers {
+				p.Servers[i].ToldLeaving = start
+			}
+		}, 3 * time.Second, "", AllOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := leavingBalancer(start)
+			p := testPicture(threeServers...)
+			b.ApplyPicture(start, p)
+			c.leave(b, p)
+			b.ApplyPicture(start, p)
+			now := start.Add(c.after)
+			got, why := b.Choose(now, Choice{Service: "s", Usual: 10 * time.Millisecond})
+			is.Equal(why, c.why)
+			usable, _ := b.Servers(now, "s")
+			is.Equal(usable > 0, got != nil)
+			if got == nil {
+				return
+			}
+			is.True(b.Takes(now, got))
+			if got.local { // the others cost the same
+				is.Equal(got.ID, c.want)
+			}
+			is.Equal(got.leaving, c.name != "a server that stays goes first")
+		})
+	}
+}
+
+// TestWordsOutlastEntries: what a lifetime said holds while its entry is away,
+// and not for the next lifetime.
+func TestWordsOutlastEntries(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := leavingBalancer(now)
+	p := testPicture(threeServers[:1]...)
+	b.ApplyPicture(now, p)
+	first, _ := b.Choose(now, Choice{Service: "s"})
+	call := b.Begin(now, first, 0, true)
+	b.ApplyPicture(now, testPicture()) // the entry has lapsed, and its call still runs
+	b.Done(now, call, ResultOK)
+	b.SaidLeaving(now, first)
+	b.SaidAlone(now, first, 10*time.Second)
+	now = now.Add(4 * time.Second)
+	b.ApplyPicture(now, p)
+	_, why := b.Choose(now, Choice{Service: "s"})
+	is.Equal(why, AllOut)
+	is.Equal(len(b.words), 0)
+
+	p.Servers[0].Born = 7
+	b.ApplyPicture(now, p)
+	_, why = b.Choose(now, Choice{Service: "s"})
+	is.Equal(why, Picked)
+}
+
+// TestServersThatAskToBeLeftAlone get no call until then, whatever else they
+// said, and are waited for as long as the first one asks.
+func TestServersThatAskToBeLeftAlone(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := leavingBalancer(now)
+	p := testPicture(threeServers...)
+	b.ApplyPicture(now, p)
+	of := func(i int) *Target { return b.byKey[p.Servers[i].Key()] }
+	b.SaidAlone(now, of(0), 3*time.Second)
+	b.SaidAlone(now, of(0), time.Second) // the longer one holds
+	b.SaidAlone(now, of(1), 2*time.Second)
+	is.Equal(b.AloneFor(now, "s"), time.Duration(0))
+	b.SaidAlone(now, of(2), time.Hour)
+	is.Equal(of(2).word.aloneUntil, now.Add(MostAlone))
+	is.Equal(b.AloneFor(now, "s"), 2*time.Second)
+	_, why := b.Choose(now, Choice{Service: "s"})
+	is.Equal(why, AllAsked)
+	usable, _ := b.Servers(now, "s")
+	is.Equal(usable, 0)
+	now = now.Add(2 * time.Second)
+	got, _ := b.Choose(now, Choice{Service: "s"})
+	is.Equal(got.ID, "2")
+	is.True(!b.Takes(now, of(0)))
+	is.True(b.Takes(now.Add(time.Second), of(0)))
+}
--- a/policy/target.go
+++ b/policy/target.go
@@ -46,9 +46,15 @@
 	pool  *targets
 	hash  uint64
 	local bool
-	// out targets get no new calls, gone ones are no longer published.
-	out  bool
+	// gone targets are no longer published.
 	gone bool
+	// evacuated is set while the target's data centre is to be left.
+	evacuated      bool
+	evacuatedSince time.Time
+	// leaving targets get calls only where no other takes them, until a time.
+	leaving bool
+	until   time.Time
+	word    word
 	// other targets are away and not the one that this host prefers.
 	other bool
 	// limit is how many calls this host may have in flight to it; scarce is
--- a/route/route.go
+++ b/route/route.go
@@ -125,8 +125,13 @@
 	DataCentre string
 	// Slots is how many requests it works on at once.
 	Slots int
-	// Draining servers are about to leave and get no new requests.
-	Draining bool
+	// Draining servers are about to leave. DrainingSince is a time before which
+	// the metadata store did not hold this; it is zero where none is known.
+	Draining      bool
+	DrainingSince time.Time
+	// ToldLeaving is when the server told one of the hosts that it leaves; the
+	// zero time is never.
+	ToldLeaving time.Time
 	// Cold is how much longer the server stays cold, as of its registration.
 	Cold time.Duration
 }
@@ -146,6 +151,7 @@
 	// Config is nil while no configuration is known.
 	Config  *Config
 	Servers []Server
-	// Evacuated are the data centres that get no new requests.
-	Evacuated map[string]bool
+	// Evacuated are the data centres to leave, each with a time before which
+	// the metadata store did not hold this; it is zero where none is known.
+	Evacuated map[string]time.Time
 }
