--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -26,7 +26,7 @@
 )
 
 var testHeaders = Headers{
-	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sign", ExpectServer: "X-Server", NotRun: "X-Not-Run",
+	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sign", ExpectServer: "X-Server", NotRun: "X-Not-Run", Leaving: "X-Leaves",
 	Signatures: "X-Signs", Missing: "X-Lacks", ReadyPath: "/ready",
 }
 
@@ -92,6 +92,10 @@
 			}
 			b.closed <- struct{}{}
 			return
+		case strings.Contains(target, "leaves"):
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "alone"):
+			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "busy"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
@@ -129,7 +133,7 @@
 func newTestDoor(t *testing.T, b *backend) *testDoor {
 	now := clock.Now()
 	random := rand.New(rand.NewPCG(1, 2))
-	balancer := policy.NewBalancer(now, policy.BalancerOptions{Address: "127.0.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second})
+	balancer := policy.NewBalancer(now, policy.BalancerOptions{Address: "127.0.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, DrainFor: 800 * time.Millisecond})
 	logger, lines := NewLogger(io.Discard, "h")
 	t.Cleanup(lines.Close)
 	counts := newCounters()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/http1"
+	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
 
@@ -140,6 +142,38 @@
 }
 
 func (r *runner) answered(a *http1.Answer) forward.Reply {
+	reply := r.verdict(a)
+	if a.Status == http.StatusServiceUnavailable {
+		var fault string
+		if reply.LeaveAlone, fault = leaveAlone(a.Header); reply.LeaveAlone > 0 {
+			reply.Detail += ", to be left alone for " + reply.LeaveAlone.String()
+		}
+		reply.Detail += fault
+	}
+	// A server at another's address speaks for itself only.
+	reply.Leaving = !reply.Moved && a.Header.Get(r.headers.Leaving) == saysLeaving
+	return reply
+}
+
+// saysLeaving is the value of the header by which a server says that it leaves.
+const saysLeaving = "1"
+
+// leaveAlone returns how long a server that turned a request away wants none,
+// and what is wrong with the header's value, if anything.
+func leaveAlone(h http.Header) (d time.Duration, fault string) {
+	for _, v := range h.Values("Retry-After") {
+		seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+		if err != nil || !(seconds >= 0) { // a number that is not one is not 0 or more
+			fault = fmt.Sprintf(", Retry-After %.40q is no number of seconds", v)
+			continue
+		}
+		d = max(d, time.Duration(min(seconds, policy.MostAlone.Seconds())*float64(time.Second)))
+	}
+	return d, fault
+}
+
+// verdict tells what became of the request.
+func (r *runner) verdict(a *http1.Answer) forward.Reply {
 	refused := a.Header.Get(r.headers.NotRun) != "" && slices.Contains(promises, a.Status)
 	if refused || a.Status == http.StatusMisdirectedRequest {
 		return forward.Reply{Outcome: forward.NotRun, Status: a.Status, Moved: a.Status == http.StatusMisdirectedRequest, Detail: "not run, status " + strconv.Itoa(a.Status)}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -170,7 +170,9 @@
 	}
 	h := w.Header()
 	for _, name := range endToEnd(a.Header) {
-		h[name] = a.Header[name]
+		if !strings.EqualFold(name, d.headers.Leaving) { // it concerns this host alone
+			h[name] = a.Header[name]
+		}
 	}
 	noSniffing(h)
 	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
--- /dev/null
+++ b/gateway/leaving_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/http1"
+	"github.com/figmast/figmast/policy"
+)
+
+// TestServerThatLeaves: its word stays at the host, it takes what no other can
+// for a while, and nothing after.
+func TestServerThatLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	resp, _ := d.send(t, "GET /p/leaves"+get+"\r\n")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(resp.Header.Get("X-Sign"), "s")
+	is.Equal(resp.Header.Get("X-Leaves"), "")
+	d.believe(b) // the entry does not say it
+	resp, _ = d.send(t, "GET /p/1"+get+"\r\n")
+	is.Equal(resp.StatusCode, 200) // it is the only one
+	time.Sleep(800 * time.Millisecond)
+	resp, _ = d.send(t, "GET /p/1"+get+"\r\n")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(len(b.heads), 2)
+}
+
+// TestServerThatAsksToBeLeftAlone gets nothing until then, and callers are
+// told at once when to come back.
+func TestServerThatAsksToBeLeftAlone(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	for range 3 {
+		began := time.Now()
+		resp, _ := d.send(t, "GET /p/alone"+get+"\r\n")
+		is.Equal(resp.StatusCode, 503)
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 1 && after < 2.5)
+		is.True(time.Since(began) < 300*time.Millisecond) // the caller waits for 400 ms
+	}
+	is.Equal(len(b.heads), 1)
+}
+
+// TestWhatServersSay covers the headers of a server's answer.
+func TestWhatServersSay(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		status  int
+		header  http.Header
+		leaving bool
+		alone   time.Duration
+	}{
+		{"nothing", 200, http.Header{}, false, 0},
+		{"leaves", 200, http.Header{"X-Leaves": {"1"}}, true, 0},
+		{"leaves and fails", 500, http.Header{"X-Leaves": {"1"}}, true, 0},
+		{"another value", 200, http.Header{"X-Leaves": {"0"}}, false, 0},
+		{"another server at the address", 421, http.Header{"X-Leaves": {"1"}}, false, 0},
+		{"leaves and turns away", 503, http.Header{"X-Leaves": {"1"}, "Retry-After": {"2"}, "X-Not-Run": {"1"}}, true, 2 * time.Second},
+		{"turns away without having said that it did not run", 503, http.Header{"Retry-After": {" 0.25 "}}, false, 250 * time.Millisecond},
+		{"other statuses do not ask", 429, http.Header{"Retry-After": {"2"}, "X-Not-Run": {"1"}}, false, 0},
+		{"nor do answers", 200, http.Header{"Retry-After": {"2"}}, false, 0},
+		{"zero", 503, http.Header{"Retry-After": {"0"}}, false, 0},
+		{"negative", 503, http.Header{"Retry-After": {"-1"}}, false, 0},
+		{"no number", 503, http.Header{"Retry-After": {"NaN"}}, false, 0},
+		{"endless", 503, http.Header{"Retry-After": {"+Inf"}}, false, policy.MostAlone},
+		{"an hour", 503, http.Header{"Retry-After": {"3600"}}, false, policy.MostAlone},
+		{"a date", 503, http.Header{"Retry-After": {"Fri, 04 Dec 2026 12:00:00 GMT"}}, false, 0},
+		{"two", 503, http.Header{"Retry-After": {"1", "3"}}, false, 3 * time.Second},
+		{"two, one of them bad", 503, http.Header{"Retry-After": {"1", "x"}}, false, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &runner{headers: testHeaders}
+			got := r.reply(&http1.Answer{Status: c.status, Header: c.header}, http1.Done, nil)
+			is.Equal(got.Leaving, c.leaving)
+			is.Equal(got.LeaveAlone, c.alone)
+			is.Equal(got.Outcome == forward.NotRun, c.header.Get("X-Not-Run") != "" || c.status == 421)
+		})
+	}
+}
+
+// TestNoCallIsWrittenTooLate: a call that was chosen in time is not written
+// once its server takes none, as after a suspension of the machine.
+func TestNoCallIsWrittenTooLate(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	d := newTestDoor(t, b)
+	r := d.runner
+	r.mu.Lock()
+	target, _ := r.balancer.Choose(r.now(), policy.Choice{Service: "s"})
+	r.balancer.SaidAlone(r.now(), target, time.Minute)
+	_, acts := r.engine.Start(r.now(), forward.Request{ID: "r", Route: &r.picture.Load().Config.Routes[0], Deadline: r.now().Add(time.Second)})
+	r.mu.Unlock()
+	is.Equal(len(acts.Send), 0)
+	is.True(!r.takes(target))
+	_, state, err := r.pool.Do(t.Context(), http1.Call{
+		Peer: peerOf(target.Server), Method: http.MethodGet, Deadline: time.Now().Add(time.Second),
+		Bytes: func(time.Duration) []byte { return []byte("GET / HTTP/1.1\r\n\r\n") },
+		Guard: func() bool { return r.takes(target) },
+	})
+	is.True(err != nil)
+	is.Equal(state, http1.NotSent)
+	is.Equal(len(b.heads), 0)
+}
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -28,12 +28,23 @@
 	at        time.Time
 	signature string
 	answer    []byte
+	// born is the start of the server's lifetime; leaving is set where the
+	// answer says that the server leaves.
+	born    int64
+	leaving bool
 }
 
-// ledger holds what all backend servers have worked on.
+// ledger holds what all backend servers have worked on and turned away.
 type ledger struct {
-	mu   sync.Mutex
-	runs []execution
+	mu     sync.Mutex
+	runs   []execution
+	turned []turned
+}
+
+func (l *ledger) turn(x turned) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.turned = append(l.turned, x)
 }
 
 func (l *ledger) add(x execution) {
@@ -58,6 +69,10 @@
 	// ones for good.
 	lives        int
 	down, closed bool
+	// leaving servers say so in their answers; until asking they turn requests
+	// away and ask to be left alone.
+	leaving bool
+	asking  time.Time
 }
 
 const (
@@ -131,11 +146,17 @@
 		return write(c, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
 	}
 	trouble := b.draw(200)
-	if trouble == 0 {
-		return write(c, "HTTP/1.1 503 Busy\r\n"+b.headers.NotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+	if trouble == 5 && b.draw(5) == 0 {
+		b.ask()
+	}
+	leaving, asks := b.says()
+	if trouble == 0 || asks > 0 {
+		b.ledger.turn(turned{request: id, server: entry.ID, born: entry.Born, at: time.Now(), alone: asks})
+		return write(c, "HTTP/1.1 503 Busy\r\n"+b.headers.NotRun+": 1\r\n"+asksHeader(asks)+"Content-Length: 0\r\n\r\n")
 	}
 	x := execution{
 		request: id, service: entry.Service, server: entry.ID, method: req.Method, path: req.RequestURI, body: string(body), at: time.Now(),
+		born: entry.Born, leaving: leaving,
 	}
 	sum := sha256.Sum256([]byte(id + entry.ID))
 	x.signature = hex.EncodeToString(sum[:6])
@@ -149,8 +170,12 @@
 		return false
 	}
 	time.Sleep(workLeast + time.Duration(b.draw(int64(workSpread))))
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n",
 		b.headers.RequestID, id, b.headers.Signature, x.signature, len(x.answer))
+	if leaving {
+		head += b.headers.Leaving + ": 1\r\n"
+	}
+	head += "\r\n"
 	switch trouble {
 	case 1: // the answer is lost
 		return false
--- a/soak/check.go
+++ b/soak/check.go
@@ -18,6 +18,7 @@
 type history struct {
 	results []result
 	runs    map[string][]execution
+	turned  []turned
 	// drained is when a server was published as leaving, moved when the
 	// repeatable requests were published to go to another service.
 	drained map[string]time.Time
@@ -56,6 +57,7 @@
 		}
 	}
 	faults = append(faults, h.crashes(byID)...)
+	faults = append(faults, h.words(byID)...)
 	for _, x := range h.world.hosts {
 		if x.unasked > 0 {
 			add("%s ended %d times by itself", x.Name, x.unasked)
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -57,7 +57,7 @@
 func (w *world) revive(b *backend, sameID bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || b.entry.Draining {
+	if b.closed || b.leaving {
 		return
 	}
 	b.entry.Born = time.Now().UnixMilli()
--- /dev/null
+++ b/soak/leaving.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// turned is a request that a backend server turned away; alone is how long it
+// asked to be left alone, or 0.
+type turned struct {
+	request string
+	server  string
+	born    int64
+	at      time.Time
+	alone   time.Duration
+}
+
+const (
+	// askFor is how long a server asks to be left alone, askingFor bounds how
+	// long it turns requests away.
+	askFor    = 1500 * time.Millisecond
+	askingFor = 3 * time.Second
+	// unpublished bounds how long a server that leaves says so before its
+	// entry does.
+	unpublished = 2 * time.Second
+	// askSlack is how long after its word requests may still reach a server
+	// that asked to be left alone, and mostAsked how many may later: the users'
+	// rule.
+	askSlack  = 500 * time.Millisecond
+	mostAsked = 2
+)
+
+// says returns whether the server leaves, and how long it asks to be left
+// alone.
+func (b *backend) says() (leaving bool, alone time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if time.Now().Before(b.asking) {
+		alone = askFor
+	}
+	return b.leaving, alone
+}
+
+func asksHeader(d time.Duration) string {
+	if d == 0 {
+		return ""
+	}
+	return fmt.Sprintf("Retry-After: %.1f\r\n", d.Seconds())
+}
+
+// ask has a server turn requests away for a while.
+func (b *backend) ask() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asking = time.Now().Add(time.Duration(b.random.Int64N(int64(askingFor))))
+}
+
+// wordAt names a host that has heard the word of one lifetime of a server.
+type wordAt struct {
+	host, server string
+	born         int64
+}
+
+// words checks that no host goes on with a server that has told it that it
+// leaves, or that it wants to be left alone. Hosts that were harmed since are
+// excused.
+func (h *history) words(byID map[string]*result) (faults []string) {
+	said, asked := make(map[wordAt]time.Time), make(map[wordAt][]turned)
+	for id, runs := range h.runs {
+		r := byID[id]
+		for _, x := range runs {
+			if r == nil || !x.leaving || !passedOn(h, r, x) {
+				continue
+			}
+			w := wordAt{r.host.Name, x.server, x.born}
+			if at, ok := said[w]; !ok || r.ended.Before(at) {
+				said[w] = r.ended
+			}
+		}
+	}
+	for _, x := range h.turned {
+		if r := byID[x.request]; r != nil && x.alone > 0 {
+			w := wordAt{r.host.Name, x.server, x.born}
+			asked[w] = append(asked[w], x)
+		}
+	}
+	late := make(map[wordAt]int)
+	arrived := func(id, server string, born int64, at time.Time) {
+		r := byID[id]
+		if r == nil {
+			return
+		}
+		w := wordAt{r.host.Name, server, born}
+		if told, ok := said[w]; ok && r.sent.After(told.Add(apply)) && r.host.calm(told, at, false) {
+			faults = append(faults, fmt.Sprintf("request %s reached %s from %s, sent %v after that host passed on that the server leaves", id, server, w.host, r.sent.Sub(told)))
+		}
+		for _, x := range asked[w] {
+			if at.Sub(x.at) > askSlack && at.Sub(x.at) < x.alone && r.host.calm(x.at, at, false) {
+				late[w]++
+				break
+			}
+		}
+	}
+	for id, runs := range h.runs {
+		for _, x := range runs {
+			arrived(id, x.server, x.born, x.at)
+		}
+	}
+	for _, x := range h.turned {
+		arrived(x.request, x.server, x.born, x.at)
+	}
+	for w, n := range late {
+		if n > mostAsked {
+			faults = append(faults, fmt.Sprintf("%d requests reached %s from %s while it had asked to be left alone", n, w.server, w.host))
+		}
+	}
+	h.world.notes.add("%d words of servers that leave, %d of servers to be left alone", len(said), len(asked))
+	return faults
+}
+
+// passedOn reports whether the caller got the answer of an execution, alone or
+// as a part.
+func passedOn(h *history, r *result, x execution) bool {
+	if r.status != http.StatusOK {
+		return false
+	}
+	for _, name := range []string{h.world.headers.Signature, h.world.headers.Signatures} {
+		if strings.Contains(r.header.Get(name), x.signature) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -116,11 +117,12 @@
 	if err != nil {
 		return Report{}, err
 	}
-	h := &history{results: c.results, runs: make(map[string][]execution), drained: w.drained, moves: w.moves, world: w}
+	h := &history{results: c.results, runs: make(map[string][]execution), moves: w.moves, world: w}
 	w.ledger.mu.Lock()
 	for _, x := range w.ledger.runs {
 		h.runs[x.request] = append(h.runs[x.request], x)
 	}
+	h.turned, h.drained = w.ledger.turned, maps.Clone(w.drained)
 	w.ledger.mu.Unlock()
 	r := h.report()
 	r.Stalled = n.stalled()
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -94,9 +94,10 @@
 	return nil
 }
 
-// replace starts another server of the service, and has one leave.
+// replace starts another server of the service, and has one leave. It says so
+// in its answers before its entry does.
 func (w *world) replace(b *backend) error {
-	if b.current().Draining {
+	if leaving, _ := b.says(); leaving {
 		return nil
 	}
 	if err := w.addBackend(b.current().Service, w.random.IntN(3)); err != nil {
@@ -104,14 +105,28 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.leaving = true
+	wait := time.Duration(b.random.Int64N(int64(unpublished)))
+	time.AfterFunc(wait, func() { w.drain(b) })
+	time.AfterFunc(wait+apply+2*time.Second, func() {
+		w.store.RemoveServer(b.current().ID)
+		b.close()
+	})
+	return nil
+}
+
+// drain publishes that a server leaves.
+func (w *world) drain(b *backend) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
 	b.entry.Draining = true
+	w.ledger.mu.Lock()
 	w.drained[b.entry.ID] = time.Now()
+	w.ledger.mu.Unlock()
 	if !b.down {
 		w.store.PutServer(b.entry)
 	}
-	time.AfterFunc(apply+2*time.Second, func() {
-		w.store.RemoveServer(b.current().ID)
-		b.close()
-	})
-	return nil
 }
