A quick answer shows that a server is not slow

Two slow calls half a second apart were enough, whatever it answered between: one call in a hundred takes five times as long, so that with some calls a second nearly each server was found slow. Reports of healthy servers also filled the table (128), so that slow ones found no room.

Change: hosts tell with a slow call when their last quick one was sent, and later quick ones where others take the server for slow; a span begins after the last quick call. Hosts tell their upstreams only what came from them or from below. Servers in the table 512.

--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -46,6 +46,8 @@
 	mostWronged = 5
 	wrongedPart = 500
 	guilty      = 7
+	fleetTail   = 5
+	fleetSlow   = 8.8
 )
 
 // fleetShape is what a fleet of hosts plays.
@@ -76,6 +78,11 @@
 	// release replaces the servers, one each so often.
 	release time.Duration
 	leaving leavingShape
+	// tails is the part of the calls that take fleetTail times as long; one of
+	// slowed servers takes fleetSlow times as long from slowAt on.
+	tails  float64
+	slowed int
+	slowAt time.Duration
 }
 
 func (s fleetShape) String() string {
@@ -109,6 +116,7 @@
 	up      bool
 	lives   int
 	word    serverWord
+	index   int
 	running int
 	queue   []*hostCall
 	calls   []*hostCall
@@ -230,7 +238,7 @@
 			s := &fleetPlace{Server: route.Server{
 				ID: fmt.Sprintf("%s-%d.0", name, j), Service: name, Address: fmt.Sprintf("10.%d.%d.1:80", i, j),
 				DataCentre: string(rune('a' + j%3)), Slots: 6, Born: 1,
-			}, up: true}
+			}, up: true, index: len(f.servers)}
 			f.servers = append(f.servers, s)
 			f.byPlace[s.Address] = s
 			f.register(s)
@@ -369,6 +377,10 @@
 	for _, x := range h.balancer.TakeSaid() {
 		h.state.TakeLeaving(f.now, []news.Leaving{news.NewLeaving(x.Server, f.now.Sub(x.At))})
 	}
+	h.balancer.SetSlow(h.state.SlowServers(f.now))
+	for _, x := range h.balancer.TakeSlow() {
+		h.state.TakeSlow(f.now, []news.Slow{news.NewSlow(f.now, x.Server, x.From, x.To, x.Quick)})
+	}
 	if p, changed := h.state.Picture(f.now); changed {
 		h.balancer.ApplyPicture(f.now, p)
 		f.take(h, h.engine.ServersChanged(f.now))
@@ -494,7 +506,7 @@
 			})
 			continue
 		}
-		took := time.Duration(float64(simWork) * (0.7 + 0.6*f.random.Float64()))
+		took := time.Duration(float64(simWork) * (0.7 + 0.6*f.random.Float64()) * f.longer(s))
 		f.events.add(f.now.Add(took), func() {
 			if s.lives != life {
 				return
@@ -509,6 +521,23 @@
 	}
 }
 
+// longer returns how many times its usual time a call takes.
+func (f *hostFleet) longer(s *fleetPlace) float64 {
+	x := 1.0
+	if f.random.Float64() < f.shape.tails {
+		x = fleetTail
+	}
+	if f.slow(s) {
+		x *= fleetSlow
+	}
+	return x
+}
+
+// slow reports whether the server is slow now.
+func (f *hostFleet) slow(s *fleetPlace) bool {
+	return f.shape.slowed > 0 && s.index%f.shape.slowed == 0 && f.now.Sub(f.t0) >= f.shape.slowAt
+}
+
 // crash ends a server's lifetime; another one begins later at its place.
 func (f *hostFleet) crash(s *fleetPlace) {
 	s.up = false
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -101,9 +101,7 @@
 	seen := feed.Seen{Crashes: r.engine.TakeReports(now)}
 	r.counts.reports(seen.Crashes)
 	for _, s := range r.balancer.TakeSlow() {
-		seen.Slow = append(seen.Slow, news.Slow{
-			Server: s.Server, FirstMs: now.Sub(s.From).Milliseconds(), LastMs: now.Sub(s.To).Milliseconds(),
-		})
+		seen.Slow = append(seen.Slow, news.NewSlow(now, s.Server, s.From, s.To, s.Quick))
 	}
 	for _, s := range r.balancer.TakeSaid() {
 		seen.Leaving = append(seen.Leaving, news.NewLeaving(s.Server, now.Sub(s.At)))
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -51,8 +51,8 @@
 	Hosts   []news.Host
 	// Crashes is what the hosts together hold against requests.
 	Crashes map[uint64]crash.Verdict
-	// Slow are the servers that the hosts together find slow.
-	Slow map[string]bool
+	// Slow are the servers that were slow to answer some calls.
+	Slow map[string]route.Slowness
 	// Age is how long ago the store was known to hold nothing newer; Known is
 	// false while that was never known.
 	Age   time.Duration
--- a/news/news.go
+++ b/news/news.go
@@ -98,10 +98,13 @@
 	Strength int `cbor:"3,keyasint,omitempty"`
 }
 
-// Slow reports when calls were sent to a server that took long.
+// Slow reports when calls were sent to a server that took long, and when the
+// last was sent that did not.
 type Slow struct {
 	Server string `cbor:"1,keyasint"`
-	// FirstMs and LastMs are how long ago the first and the last were sent.
+	// FirstMs and LastMs are how long ago the first and the last slow call were
+	// sent, QuickMs the last quick one; -1 is none.
 	FirstMs int64 `cbor:"2,keyasint"`
 	LastMs  int64 `cbor:"3,keyasint"`
+	QuickMs int64 `cbor:"4,keyasint"`
 }
--- a/news/slow.go
+++ b/news/slow.go
@@ -1,9 +1,19 @@
 package news
 
-import "time"
+import (
+	"time"
 
-// slowSpan is when the first and the last slow call to a server were sent.
-type slowSpan struct{ first, last time.Time }
+	"github.com/figmast/figmast/route"
+)
+
+// slowSpan is when the first and the last slow call to a server were sent, and
+// when the last quick one was. told is when this host or one below it last
+// added to it.
+type slowSpan struct{ first, last, quick, told time.Time }
+
+// since returns when the first call was sent of those that were slow without a
+// quick one after it.
+func (s slowSpan) since() time.Time { return later(s.first, s.quick) }
 
 const (
 	// slowLonger is how long calls to a server must have been slow for it to
@@ -12,52 +22,118 @@
 	slowLonger = 450 * time.Millisecond
 	// slowFor is how long a report holds after the last slow call.
 	slowFor = 2500 * time.Millisecond
-	// maxSlow bounds the servers reported, so that a message stays small.
-	maxSlow = 128
+	// maxSlow bounds the servers reported, so that a message stays small: those
+	// of the largest deployment known, each of which pauses now and then.
+	maxSlow = 512
 )
 
-// TakeSlow takes in reports of slow calls and joins them with those known.
-func (s *State) TakeSlow(now time.Time, list []Slow) {
+// NewSlow returns a report; zero times are none.
+func NewSlow(now time.Time, server string, first, last, quick time.Time) Slow {
+	return Slow{server, ageMs(now, first), ageMs(now, last), ageMs(now, quick)}
+}
+
+func ageMs(now, at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return max(now.Sub(at).Milliseconds(), 0)
+}
+
+func timeOf(now time.Time, ageMs int64) time.Time {
+	if ageMs < 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ageMs) * time.Millisecond)
+}
+
+// span returns the times of a report.
+func (r Slow) span(now time.Time) slowSpan {
+	return slowSpan{first: timeOf(now, r.FirstMs), last: timeOf(now, r.LastMs), quick: timeOf(now, r.QuickMs)}
+}
+
+// TakeSlow takes in reports of this host or of hosts below it.
+func (s *State) TakeSlow(now time.Time, list []Slow) { s.takeSlow(now, list, false) }
+
+// takeSlow joins reports with those known.
+func (s *State) takeSlow(now time.Time, list []Slow, fromUpstream bool) {
 	for _, r := range list {
-		first, last := now.Add(-time.Duration(r.FirstMs)*time.Millisecond), now.Add(-time.Duration(r.LastMs)*time.Millisecond)
-		old, ok := s.slow[r.Server]
-		switch {
-		case now.Sub(last) > slowFor || !ok && len(s.slow) >= maxSlow:
+		old, known := s.slow[r.Server]
+		if !known && (r.LastMs < 0 || len(s.slow) >= maxSlow) {
 			continue
-		case !ok || first.Sub(old.last) > slowFor:
-			s.slow[r.Server] = slowSpan{first, last}
-			continue
-		case old.first.Sub(last) > slowFor:
+		}
+		span, changed := old.join(now, r.span(now))
+		if !changed {
 			continue
 		}
-		if old.first.Before(first) {
-			first = old.first
+		if !fromUpstream {
+			span.told = now
 		}
-		if old.last.After(last) {
-			last = old.last
+		s.slow[r.Server] = span
+	}
+}
+
+// join returns what two reports come to, and whether that is more than the
+// first one says. Slow calls far apart do not belong together.
+func (s slowSpan) join(now time.Time, r slowSpan) (slowSpan, bool) {
+	out := s
+	out.quick = later(s.quick, r.quick)
+	switch {
+	case r.last.IsZero() || now.Sub(r.last) > slowFor || !s.last.IsZero() && s.first.Sub(r.last) > slowFor:
+	case s.last.IsZero() || r.first.Sub(s.last) > slowFor:
+		out.first, out.last = r.first, r.last
+	default:
+		if r.first.Before(s.first) {
+			out.first = r.first
 		}
-		s.slow[r.Server] = slowSpan{first, last}
+		out.last = later(s.last, r.last)
+	}
+	return out, !out.same(s)
+}
+
+// same reports whether two spans differ by no more than messages round.
+func (s slowSpan) same(o slowSpan) bool {
+	near := func(a, b time.Time) bool { return a.Sub(b).Abs() <= rounding }
+	return near(s.first, o.first) && near(s.last, o.last) && near(s.quick, o.quick)
+}
+
+// rounding is by how much a time changes that goes round between hosts.
+const rounding = 5 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
-func (s *State) slowNotes(now time.Time) []Slow {
+// slowNotes returns the reports for hosts that ask this one, or those that
+// this host and the ones below it added to of late for its upstreams.
+func (s *State) slowNotes(now time.Time, upwards bool) []Slow {
 	var out []Slow
 	for server, span := range s.slow {
 		if now.Sub(span.last) > slowFor {
 			delete(s.slow, server)
 			continue
 		}
-		out = append(out, Slow{server, now.Sub(span.first).Milliseconds(), now.Sub(span.last).Milliseconds()})
+		if upwards && now.Sub(span.told) > upwardsPolls*s.PollEvery() {
+			continue
+		}
+		out = append(out, NewSlow(now, server, span.first, span.last, span.quick))
 	}
 	return out
 }
 
-// SlowServers returns the servers that the hosts together find slow.
-func (s *State) SlowServers(now time.Time) map[string]bool {
-	out := make(map[string]bool)
+// upwardsPolls is in how many polls of its upstreams a host repeats what it
+// has added, as one may be lost.
+const upwardsPolls = 2
+
+// SlowServers returns what the hosts together know of servers that were slow
+// to answer some calls.
+func (s *State) SlowServers(now time.Time) map[string]route.Slowness {
+	out := make(map[string]route.Slowness, len(s.slow))
 	for server, span := range s.slow {
-		if now.Sub(span.last) <= slowFor && span.last.Sub(span.first) >= slowLonger {
-			out[server] = true
+		if now.Sub(span.last) <= slowFor {
+			out[server] = route.Slowness{Slow: span.last.Sub(span.since()) >= slowLonger, Since: span.since(), Until: span.last}
 		}
 	}
 	return out
--- a/news/state.go
+++ b/news/state.go
@@ -146,7 +146,7 @@
 		s.delta(now, u.Items, u.Revision)
 	}
 	s.takeCrashes(now, fromUpstream, u.Crashes)
-	s.TakeSlow(now, u.Slow)
+	s.takeSlow(now, u.Slow, true)
 	s.TakeLeaving(now, u.Leaving)
 }
 
@@ -219,7 +219,7 @@
 // News returns what has changed after a revision and a state of the reports of
 // crashes.
 func (s *State) News(now time.Time, have int64, crashesKnown uint64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowNotes(now), Leaving: s.leavingNotes(now)}
+	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowNotes(now, false), Leaving: s.leavingNotes(now)}
 	s.addCrashes(now, u, crashesKnown)
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
@@ -235,7 +235,7 @@
 
 // Poll returns what to ask another host; last is its last answer, or nil.
 func (s *State) Poll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Slow: s.slowNotes(now), Leaving: s.leavingNotes(now), Push: push}
+	p := &Poll{From: s.members.self.Note, Nonce: nonce, Have: s.revision, Slow: s.slowNotes(now, true), Leaving: s.leavingNotes(now), Push: push}
 	s.pollCrashes(now, p, last)
 	m := &s.members
 	m.lapse(now)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -50,6 +50,8 @@
 	self  uint64
 	pools map[string]*targets
 	byKey map[route.Key]*Target
+	// byID holds the latest lifetime of each ID.
+	byID map[string]*Target
 
 	hosts  []uint64
 	local  int
@@ -58,7 +60,7 @@
 	start  time.Time
 
 	slow     map[string]SlowSpan
-	toldSlow map[string]bool
+	toldSlow map[string]route.Slowness
 	// words are those of lifetimes that are not published now, which may come
 	// back when the metadata store does.
 	words map[route.Key]word
@@ -78,7 +80,7 @@
 func NewBalancer(now time.Time, opts BalancerOptions) *Balancer {
 	b := &Balancer{
 		opts: opts, self: xxhash.Sum64String(opts.Address), start: now,
-		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target), slow: make(map[string]SlowSpan),
+		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target), byID: make(map[string]*Target), slow: make(map[string]SlowSpan),
 		words: make(map[route.Key]word),
 	}
 	b.hosts, b.local, b.most = []uint64{b.self}, 1, fewestHosts
@@ -112,6 +114,9 @@
 		if !seen[key] {
 			t.gone = true
 			delete(b.byKey, key)
+			if b.byID[t.ID] == t {
+				delete(b.byID, t.ID)
+			}
 			b.keepWord(now, t)
 		}
 	}
@@ -138,7 +143,7 @@
 		t = newTarget(now, pool, s)
 		t.local = s.DataCentre == b.opts.DataCentre
 		t.word = said
-		b.byKey[s.Key()] = t
+		b.byKey[s.Key()], b.byID[s.ID] = t, t
 	}
 	pool.list = append(pool.list, t)
 	return t
@@ -261,7 +266,7 @@
 	if t.overdue(now) {
 		cost *= stuckCost
 	}
-	if b.toldSlow[t.ID] {
+	if b.toldSlow[t.ID].Slow {
 		cost *= toldSlowCost
 	}
 	return cost
@@ -315,11 +320,11 @@
 		t.health.succeed()
 		t.ended(now, false)
 		t.answered(now, latency, c.Usual)
-		b.noteSlow(c, latency)
+		b.noteSpeed(c, latency)
 	case ResultCancelled, ResultTimeout:
 		if latency > c.Usual {
 			t.answered(now, latency, c.Usual)
-			b.noteSlow(c, latency)
+			b.noteSpeed(c, latency)
 		}
 	case ResultShed, ResultBroken:
 		t.ended(now, true)
--- /dev/null
+++ b/policy/slow_test.go
@@ -0,0 +1,42 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/route"
+)
+
+// TestOneHostTellsOfSlowAndQuickCalls: a slow call is told at once, and the
+// last quick one with it; a quick one later only where others take the server
+// for slow.
+func TestOneHostTellsOfSlowAndQuickCalls(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := testBalancer(now, "10.0.0.0", "a", 9)
+	b.ApplyPicture(now, testPicture(threeServers...))
+	const usual = 20 * time.Millisecond
+	call := func(latency time.Duration) time.Time {
+		sent := now
+		c := b.Begin(now, b.byID["1"], usual, true)
+		now = now.Add(latency)
+		b.Done(now, c, ResultOK)
+		return sent
+	}
+	quick := call(usual)
+	is.Equal(len(b.TakeSlow()), 0)
+	slow := call(4 * usual)
+	is.Equal(b.TakeSlow(), []SlowSpan{{Server: "1", From: slow, To: slow, Quick: quick}})
+	is.Equal(len(b.TakeSlow()), 0)
+
+	b.SetSlow(map[string]route.Slowness{"1": {Since: slow, Until: slow}})
+	quick = call(usual)
+	is.Equal(len(b.TakeSlow()), 0) // one slow call needs no answer to it
+	call(2 * usual)                // neither quick nor slow
+	b.SetSlow(map[string]route.Slowness{"1": {Slow: true, Since: slow, Until: slow.Add(time.Second)}, "gone": {Slow: true}})
+	is.Equal(b.TakeSlow(), []SlowSpan{{Server: "1", Quick: quick}})
+	b.SetSlow(map[string]route.Slowness{"1": {Since: quick, Until: slow}})
+	is.Equal(len(b.TakeSlow()), 0)
+}
--- a/policy/target.go
+++ b/policy/target.go
@@ -71,6 +71,8 @@
 	failing   float64
 	failingAt time.Time
 	health    health
+	// quickAt is when the latest call was sent that took no longer than usual.
+	quickAt time.Time
 
 	coldUntil time.Time
 	cold      budget
--- a/route/route.go
+++ b/route/route.go
@@ -146,6 +146,17 @@
 // Key returns the name of the server's lifetime.
 func (s Server) Key() Key { return Key{s.ID, s.Born, s.Address} }
 
+// Slowness is what the hosts together know of a server that was slow to answer
+// some calls.
+type Slowness struct {
+	// Slow is set where it is slow to answer all of them. Since is when the first
+	// of those in a row was sent, or the last quick one before, and Until when the
+	// last was.
+	Slow  bool
+	Since time.Time
+	Until time.Time
+}
+
 // Picture is what a host knows of the deployment. It is immutable.
 type Picture struct {
 	// Config is nil while no configuration is known.
