A second call at once may stay in the data centre

Change: while each call in flight began less than half of its usual latency ago, the server takes as many calls of a host of its data centre as it has slots.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -230,7 +230,7 @@
 		return AllAsked
 	case t.health.ejected(at):
 		return AllDown
-	case len(t.calls) >= t.limit:
+	case t.full(now):
 		return AllBusy
 	case spare && (t.overdue(now) || b.settling(now, t)):
 		return AllBusy
@@ -249,9 +249,12 @@
 
 // cost of one more call to a server; the least wins.
 func (b *Balancer) cost(now time.Time, t *Target) float64 {
-	part := float64(t.Slots) / float64(b.local)
-	if !t.local {
-		part = float64(t.Slots) / float64(len(b.hosts))
+	part := float64(t.Slots)
+	switch {
+	case !t.local:
+		part /= float64(len(b.hosts))
+	case !t.prompt(now):
+		part /= float64(b.local)
 	}
 	part = max(part, 1)
 	busy := float64(len(t.calls))
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -57,6 +57,7 @@
 	for _, pool := range b.pools {
 		for _, t := range pool.list {
 			t.limit, t.scarce = b.connections(pool, t)
+			t.most = min(t.limit, max(t.Slots, 1))
 			t.limit = min(t.limit, b.useful(t))
 			t.shareCold(now, b.self, b.hosts)
 		}
--- a/policy/slow_test.go
+++ b/policy/slow_test.go
@@ -40,3 +40,42 @@
 	b.SetSlow(map[string]route.Slowness{"1": {Since: quick, Until: slow}})
 	is.Equal(len(b.TakeSlow()), 0)
 }
+
+// TestSecondCallStaysInTheDataCentre: two calls at once go to the server of the
+// host's own data centre while that shows no wait and has slots for both.
+func TestSecondCallStaysInTheDataCentre(t *testing.T) {
+	const usual = 20 * time.Millisecond
+	for _, c := range []struct {
+		name  string
+		after time.Duration
+		calls int
+		local bool
+	}{
+		{"one at once", 0, 1, true},
+		{"two at once", 5 * time.Millisecond, 2, true},
+		{"the first one waits", 15 * time.Millisecond, 2, false},
+		{"more than it has slots", 5 * time.Millisecond, 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			b := testBalancer(now, "10.0.0.0", "a", 9)
+			p := testPicture(threeServers...)
+			for i := range p.Servers {
+				p.Servers[i].Slots = 2
+			}
+			b.ApplyPicture(now, p)
+			var last *Target
+			for range c.calls {
+				var why Reason
+				if last, why = b.Choose(now, Choice{Service: "s", Usual: usual}); last == nil {
+					t.Fatal(why)
+				}
+				b.Begin(now, last, usual, true)
+				now = now.Add(c.after)
+			}
+			if last.local != c.local {
+				t.Errorf("the last call goes to %s", last.DataCentre)
+			}
+		})
+	}
+}
--- a/policy/target.go
+++ b/policy/target.go
@@ -57,9 +57,11 @@
 	word    word
 	// other targets are away and not the one that this host prefers.
 	other bool
-	// limit is how many calls this host may have in flight to it; scarce is
-	// set where its connections do not suffice for two to each host.
+	// limit is how many calls this host may have in flight to it, most how many
+	// of a server of its own data centre that shows no wait; scarce is set
+	// where its connections do not suffice for two to each host.
 	limit  int
+	most   int
 	scarce bool
 	calls  []*Call
 
@@ -136,6 +138,27 @@
 	return now.Sub(c.Sent) > max(overdueFactor*c.Usual, overdueLeast)
 }
 
+// prompt reports whether the target shows no wait: each call in flight began
+// less than half of its usual latency ago. The load that it answers: a few
+// requests at once, of which the second would leave the data centre while the
+// server's other slots are free. A server that pauses keeps its calls.
+func (t *Target) prompt(now time.Time) bool {
+	for _, c := range t.calls {
+		if now.Sub(c.Sent) > c.Usual/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// full reports whether the target has as many calls of this host as it may.
+func (t *Target) full(now time.Time) bool {
+	if len(t.calls) < t.limit {
+		return false
+	}
+	return !t.local || len(t.calls) >= t.most || !t.prompt(now)
+}
+
 // slowness returns the latency factor as it has faded.
 func (t *Target) slowness(now time.Time) float64 {
 	idle := now.Sub(t.factorAt)
