Usual terms for what servers say: notices, back-off, last resort

No behaviour changed but the reason of a request that is refused at once because its servers have asked for back-off: all_backing_off in place of no_server.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,10 +61,10 @@
 	// where it refuses connections.
 	Moved       bool
 	Unreachable bool
-	// Leaving is set where the server says that it leaves. LeaveAlone is how
+	// Leaving is set where the server says that it leaves. Backoff is for how
 	// long a server that turned the call away wants nothing from this host.
-	Leaving    bool
-	LeaveAlone time.Duration
+	Leaving bool
+	Backoff time.Duration
 	// Signature and Body are the answer's, as far as a gather route merges it.
 	Signature string
 	Body      []byte
@@ -266,10 +266,10 @@
 	}
 	e.opts.Balancer.Done(now, c.record, result)
 	if reply.Leaving {
-		e.opts.Balancer.SaidLeaving(now, c.target)
+		e.opts.Balancer.NoteLeaving(now, c.target)
 	}
-	if reply.LeaveAlone > 0 {
-		e.opts.Balancer.SaidAlone(now, c.target, reply.LeaveAlone)
+	if reply.Backoff > 0 {
+		e.opts.Balancer.NoteBackoff(now, c.target, reply.Backoff)
 	}
 	if reply.Outcome == Broken {
 		c.part.run.broken++
--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -374,7 +374,7 @@
 		}
 	}
 	h.state.TakeCrashes(f.now, reports)
-	for _, x := range h.balancer.TakeSaid() {
+	for _, x := range h.balancer.TakeLeavingNotices() {
 		h.state.TakeLeaving(f.now, []news.Leaving{news.NewLeaving(x.Server, f.now.Sub(x.At))})
 	}
 	h.balancer.SetSlow(h.state.SlowServers(f.now))
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -31,7 +31,7 @@
 	// falsely is the part of the servers that say for a while that they leave.
 	falsely float64
 	// asking is the part of the servers that turn calls away for askingFor and
-	// ask to be left alone for askFor.
+	// ask back off for askFor.
 	asking    float64
 	askFor    time.Duration
 	askingFor time.Duration
@@ -47,8 +47,8 @@
 	// fleetLinger is how long after its bound a server that leaves goes on.
 	fleetLinger = time.Second
 	fleetFreeze = 2 * time.Second
-	// askSlack is how long after its word calls may still reach a server that
-	// asks to be left alone, and mostAsked how many may later: the rule.
+	// askSlack is how long after its notice calls may still reach a server that
+	// asks for back-off, and mostAsked how many may later: the rule.
 	askSlack  = 500 * time.Millisecond
 	mostAsked = 2
 	// leastCredit is the share of what is owed that callers get while servers
@@ -71,7 +71,7 @@
 	life   int
 }
 
-// asked is a server's word that it wants to be left alone.
+// asked is a server's notice that it asks for back-off.
 type asked struct {
 	at, until time.Time
 	calls     int
@@ -190,13 +190,13 @@
 	return s.word.leaves || f.now.Before(s.word.falselyTill)
 }
 
-// turnsAway returns the answer of a server that asks to be left alone.
+// turnsAway returns the answer of a server that asks for back-off.
 func (f *hostFleet) turnsAway(s *fleetPlace) (Reply, bool) {
 	if !f.now.Before(s.word.asksTill) {
 		return Reply{}, false
 	}
 	return Reply{
-		Outcome: NotRun, Status: http.StatusServiceUnavailable, LeaveAlone: f.shape.leaving.askFor, Detail: "not run, status 503",
+		Outcome: NotRun, Status: http.StatusServiceUnavailable, Backoff: f.shape.leaving.askFor, Detail: "not run, status 503",
 	}, true
 }
 
@@ -207,9 +207,9 @@
 	if r.Leaving && f.leaving.said[k].IsZero() {
 		f.leaving.said[k] = f.now
 	}
-	if r.LeaveAlone > 0 {
+	if r.Backoff > 0 {
 		if old := f.leaving.asked[k]; old == nil || !f.now.Before(old.until) {
-			f.leaving.asked[k] = &asked{at: f.now, until: f.now.Add(r.LeaveAlone)}
+			f.leaving.asked[k] = &asked{at: f.now, until: f.now.Add(r.Backoff)}
 		}
 	}
 }
@@ -319,10 +319,10 @@
 	{hosts: 295, shards: 90, servers: 3, load: 96, spell: 6 * time.Second, leaving: large(leavingShape{asking: 0.2, falsely: 0.2, askFor: 2 * time.Second, askingFor: 3 * time.Second, scaleInAt: time.Second})},
 }
 
-// TestServersThatLeaveOrAskToBeLeftAlone plays whole requests while servers
-// leave, say so, or ask to be left alone. No call reaches one against the
+// TestServersThatLeaveOrAskForBackoff plays whole requests while servers
+// leave, say so, or ask for back-off. No call reaches one against the
 // rules, and callers are served while servers that leave still answer.
-func TestServersThatLeaveOrAskToBeLeftAlone(t *testing.T) {
+func TestServersThatLeaveOrAskForBackoff(t *testing.T) {
 	for i, shape := range leavingShapes {
 		t.Run(fmt.Sprintf("%d hosts, %d shards, away %v, restarts %v, %v", shape.hosts, shape.shards, shape.away, shape.restarts, shape.leaving), func(t *testing.T) {
 			t.Parallel()
@@ -337,7 +337,7 @@
 				n    int
 			}{
 				{"after the bound of a server that leaves", l.afterDrain}, {"after the bound of an evacuation", l.afterEvacuation},
-				{"after the bound from a server's own word", l.afterWord}, {"at servers that asked to be left alone", l.afterAsking},
+				{"after the bound from a server's own notice", l.afterWord}, {"at servers that asked for back-off", l.afterAsking},
 				{"beyond the retry budget", f.overBudget()},
 			} {
 				if x.n > 0 {
--- a/forward/part.go
+++ b/forward/part.go
@@ -110,11 +110,11 @@
 	if p.run.req.Route.Repeatable && p.ran < p.run.req.Route.Attempts {
 		p.spareAt = now.Add(p.run.record.spareDelay(p.run.req.Route))
 	}
-	if t.Leaving() {
+	if t.LastResort() {
 		p.run.note("%s: at %s, which leaves, as no other takes it", p.service.name, t.ID)
 	}
 	e.out.Send = append(e.out.Send, Send{
-		Call: c.id, Run: p.run.id, Target: t, Deadline: p.run.req.Deadline, Careful: !p.run.req.Route.Repeatable, LastResort: t.Leaving(),
+		Call: c.id, Run: p.run.id, Target: t, Deadline: p.run.req.Deadline, Careful: !p.run.req.Route.Repeatable, LastResort: t.LastResort(),
 	})
 }
 
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -200,7 +200,7 @@
 )
 
 // retryAfter returns when a refused caller had better come back: when what
-// waits has been served, and when servers that asked to be left alone take
+// waits has been served, and when servers that asked for back-off take
 // calls again.
 func (r *run) retryAfter(now time.Time, reason policy.Reason) time.Duration {
 	var d time.Duration
@@ -216,7 +216,7 @@
 	d = min(max(d, leastRetryAfter), mostRetryAfter)
 	for i := range r.parts {
 		if p := &r.parts[i]; p.state != partHave {
-			d = max(d, r.engine.opts.Balancer.AloneFor(now, p.service.name))
+			d = max(d, r.engine.opts.Balancer.BackoffLeft(now, p.service.name))
 		}
 	}
 	return d + time.Duration(retrySpread*r.engine.opts.Rand.Float64()*float64(d))
--- a/forward/run.go
+++ b/forward/run.go
@@ -101,10 +101,15 @@
 			served++
 		}
 	}
-	if served == 0 || !r.enough(served) {
-		return policy.NoServer, true
+	if served > 0 && r.enough(served) {
+		return "", false
 	}
-	return "", false
+	for i := range r.parts {
+		if r.engine.opts.Balancer.BackoffLeft(now, r.parts[i].service.name) > 0 {
+			return policy.AllBackingOff, true
+		}
+	}
+	return policy.NoServer, true
 }
 
 // gather reports whether the answer is merged from parts.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -26,9 +26,9 @@
 	// refusing and taking count the servers looked at after a broken call.
 	crashes          *metrics.Counter
 	refusing, taking *metrics.Counter
-	// lastResort counts calls to servers that leave, leaving and alone the
-	// answers that say so or ask for the host to stay away.
-	lastResort, leaving, alone *metrics.Counter
+	// lastResort counts calls to servers that leave, leaving and backoff the
+	// answers that say so or ask this host to back off.
+	lastResort, leaving, backoff *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -41,8 +41,8 @@
 	c.refusing = c.set.NewCounter(`figmast_server_checks_total{result="refuses"}`)
 	c.taking = c.set.NewCounter(`figmast_server_checks_total{result="takes"}`)
 	c.lastResort = c.set.NewCounter("figmast_last_resort_calls_total")
-	c.leaving = c.set.NewCounter(`figmast_server_words_total{word="leaving"}`)
-	c.alone = c.set.NewCounter(`figmast_server_words_total{word="leave_alone"}`)
+	c.leaving = c.set.NewCounter(`figmast_server_notices_total{notice="leaving"}`)
+	c.backoff = c.set.NewCounter(`figmast_server_notices_total{notice="backoff"}`)
 	return c
 }
 
@@ -53,8 +53,8 @@
 	if r.Leaving {
 		c.leaving.Inc()
 	}
-	if r.LeaveAlone > 0 {
-		c.alone.Inc()
+	if r.Backoff > 0 {
+		c.backoff.Inc()
 	}
 	c.calls[r.Outcome].Inc()
 	c.callTimes.Update(took.Seconds())
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -145,8 +145,8 @@
 	reply := r.verdict(a)
 	if a.Status == http.StatusServiceUnavailable {
 		var fault string
-		if reply.LeaveAlone, fault = leaveAlone(a.Header); reply.LeaveAlone > 0 {
-			reply.Detail += ", to be left alone for " + reply.LeaveAlone.String()
+		if reply.Backoff, fault = backoffOf(a.Header); reply.Backoff > 0 {
+			reply.Detail += ", back off for " + reply.Backoff.String()
 		}
 		reply.Detail += fault
 	}
@@ -158,16 +158,16 @@
 // saysLeaving is the value of the header by which a server says that it leaves.
 const saysLeaving = "1"
 
-// leaveAlone returns how long a server that turned a request away wants none,
+// backoffOf returns how long a server that turned a request away wants none,
 // and what is wrong with the header's value, if anything.
-func leaveAlone(h http.Header) (d time.Duration, fault string) {
+func backoffOf(h http.Header) (d time.Duration, fault string) {
 	for _, v := range h.Values("Retry-After") {
 		seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
 		if err != nil || !(seconds >= 0) { // a number that is not one is not 0 or more
 			fault = fmt.Sprintf(", Retry-After %.40q is no number of seconds", v)
 			continue
 		}
-		d = max(d, time.Duration(min(seconds, policy.MostAlone.Seconds())*float64(time.Second)))
+		d = max(d, time.Duration(min(seconds, policy.MaxServerBackoff.Seconds())*float64(time.Second)))
 	}
 	return d, fault
 }
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -13,7 +13,7 @@
 	"github.com/figmast/figmast/policy"
 )
 
-// TestServerThatLeaves: its word stays at the host, it takes what no other can
+// TestServerThatLeaves: its notice stays at the host, it takes what no other can
 // for a while, and nothing after.
 func TestServerThatLeaves(t *testing.T) {
 	is := is.New(t)
@@ -32,9 +32,9 @@
 	is.Equal(len(b.heads), 2)
 }
 
-// TestServerThatAsksToBeLeftAlone gets nothing until then, and callers are
+// TestServerThatAsksForBackoff gets nothing until then, and callers are
 // told at once when to come back.
-func TestServerThatAsksToBeLeftAlone(t *testing.T) {
+func TestServerThatAsksForBackoff(t *testing.T) {
 	is := is.New(t)
 	b := newBackend(t)
 	d := newTestDoor(t, b)
@@ -71,8 +71,8 @@
 		{"zero", 503, http.Header{"Retry-After": {"0"}}, false, 0},
 		{"negative", 503, http.Header{"Retry-After": {"-1"}}, false, 0},
 		{"no number", 503, http.Header{"Retry-After": {"NaN"}}, false, 0},
-		{"endless", 503, http.Header{"Retry-After": {"+Inf"}}, false, policy.MostAlone},
-		{"an hour", 503, http.Header{"Retry-After": {"3600"}}, false, policy.MostAlone},
+		{"endless", 503, http.Header{"Retry-After": {"+Inf"}}, false, policy.MaxServerBackoff},
+		{"an hour", 503, http.Header{"Retry-After": {"3600"}}, false, policy.MaxServerBackoff},
 		{"a date", 503, http.Header{"Retry-After": {"Fri, 04 Dec 2026 12:00:00 GMT"}}, false, 0},
 		{"two", 503, http.Header{"Retry-After": {"1", "3"}}, false, 3 * time.Second},
 		{"two, one of them bad", 503, http.Header{"Retry-After": {"1", "x"}}, false, time.Second},
@@ -82,7 +82,7 @@
 			r := &runner{headers: testHeaders}
 			got := r.reply(&http1.Answer{Status: c.status, Header: c.header}, http1.Done, nil)
 			is.Equal(got.Leaving, c.leaving)
-			is.Equal(got.LeaveAlone, c.alone)
+			is.Equal(got.Backoff, c.alone)
 			is.Equal(got.Outcome == forward.NotRun, c.header.Get("X-Not-Run") != "" || c.status == 421)
 		})
 	}
@@ -97,7 +97,7 @@
 	r := d.runner
 	r.mu.Lock()
 	target, _ := r.balancer.Choose(r.now(), policy.Choice{Service: "s"})
-	r.balancer.SaidAlone(r.now(), target, time.Minute)
+	r.balancer.NoteBackoff(r.now(), target, time.Minute)
 	_, acts := r.engine.Start(r.now(), forward.Request{ID: "r", Route: &r.picture.Load().Config.Routes[0], Deadline: r.now().Add(time.Second)})
 	r.mu.Unlock()
 	is.Equal(len(acts.Send), 0)
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -103,7 +103,7 @@
 	for _, s := range r.balancer.TakeSlow() {
 		seen.Slow = append(seen.Slow, news.NewSlow(now, s.Server, s.From, s.To, s.Quick))
 	}
-	for _, s := range r.balancer.TakeSaid() {
+	for _, s := range r.balancer.TakeLeavingNotices() {
 		seen.Leaving = append(seen.Leaving, news.NewLeaving(s.Server, now.Sub(s.At)))
 	}
 	return seen
--- a/news/state.go
+++ b/news/state.go
@@ -67,8 +67,8 @@
 	name   string
 	server route.Server
 	broken bool
-	// since is a time before which the store did not hold the evacuation, or
-	// that the server drains; it is zero where none is known.
+	// since is a time before which the store did not hold the evacuation; it is
+	// zero where none is known.
 	since time.Time
 	// lapsedUntil is set for a removed server that is kept for a while.
 	lapsedUntil time.Time
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -63,9 +63,9 @@
 	toldSlow map[string]route.Slowness
 	// words are those of lifetimes that are not published now, which may come
 	// back when the metadata store does.
-	words map[route.Key]word
+	notices map[route.Key]notice
 	// said are words that the other hosts have not been told of.
-	said []Said
+	toTell []LeavingNotice
 }
 
 // targets are the backend servers of one service.
@@ -81,7 +81,7 @@
 	b := &Balancer{
 		opts: opts, self: xxhash.Sum64String(opts.Address), start: now,
 		pools: make(map[string]*targets), byKey: make(map[route.Key]*Target), byID: make(map[string]*Target), slow: make(map[string]SlowSpan),
-		words: make(map[route.Key]word),
+		notices: make(map[route.Key]notice),
 	}
 	b.hosts, b.local, b.most = []uint64{b.self}, 1, fewestHosts
 	return b
@@ -117,7 +117,7 @@
 			if b.byID[t.ID] == t {
 				delete(b.byID, t.ID)
 			}
-			b.keepWord(now, t)
+			b.keepNotice(now, t)
 		}
 	}
 	b.share(now)
@@ -135,14 +135,14 @@
 	}
 	t := b.byKey[s.Key()]
 	if t == nil || t.pool != pool {
-		said := b.words[s.Key()]
+		said := b.notices[s.Key()]
 		if t != nil {
-			said = t.word
+			said = t.notice
 		}
-		delete(b.words, s.Key())
+		delete(b.notices, s.Key())
 		t = newTarget(now, pool, s)
 		t.local = s.DataCentre == b.opts.DataCentre
-		t.word = said
+		t.notice = said
 		b.byKey[s.Key()], b.byID[s.ID] = t, t
 	}
 	pool.list = append(pool.list, t)
@@ -190,12 +190,12 @@
 
 // cheapest returns the server of least cost among those that stay or among
 // those that leave, or nil and why.
-func (b *Balancer) cheapest(now time.Time, pool *targets, c Choice, leaving bool) (*Target, Reason) {
+func (b *Balancer) cheapest(now time.Time, pool *targets, c Choice, lastResort bool) (*Target, Reason) {
 	var best *Target
 	least, ties, reason := 0.0, 0, NoServer
 	at := b.at(now)
 	for _, t := range pool.list {
-		if t.leaving != leaving || slices.Contains(c.Tried, t) || len(c.Homes) > 0 && !slices.Contains(c.Homes, b.opts.Regions[t.DataCentre]) {
+		if t.lastResort != lastResort || slices.Contains(c.Tried, t) || len(c.Homes) > 0 && !slices.Contains(c.Homes, b.opts.Regions[t.DataCentre]) {
 			continue
 		}
 		if why := b.refuses(now, at, t, c.Spare); why != Picked {
@@ -226,8 +226,8 @@
 	switch {
 	case t.out(now):
 		return AllOut
-	case t.asksAlone(now):
-		return AllAsked
+	case t.backingOff(now):
+		return AllBackingOff
 	case t.health.ejected(at):
 		return AllDown
 	case t.full(now):
@@ -349,7 +349,7 @@
 	}
 	at := b.at(now)
 	for _, t := range pool.list {
-		if !t.out(now) && !t.asksAlone(now) && !t.health.ejected(at) {
+		if !t.out(now) && !t.backingOff(now) && !t.health.ejected(at) {
 			usable++
 			room += t.limit
 		}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -25,17 +25,17 @@
 
 // Reasons for picking none.
 const (
-	Picked       Reason = ""
-	NoServer     Reason = "no_server"     // the leaf has none left to try
-	AllOut       Reason = "all_out"       // data centres out or servers leaving
-	AllBusy      Reason = "all_busy"      // limits of all servers reached
-	AllDown      Reason = "all_down"      // no server can be reached
-	AllCold      Reason = "all_cold"      // allowance of cold servers reached
-	AllAsked     Reason = "all_asked"     // all have asked to be left alone
-	Suspect      Reason = "crash_suspect" // the request has crashed servers
-	StaleView    Reason = "stale_view"    // the view may not be acted on
-	UnknownLeaf  Reason = "unknown_leaf"
-	NoSuchServer Reason = "unknown_service"
+	Picked        Reason = ""
+	NoServer      Reason = "no_server"       // the leaf has none left to try
+	AllOut        Reason = "all_out"         // data centres out or servers leaving
+	AllBusy       Reason = "all_busy"        // limits of all servers reached
+	AllDown       Reason = "all_down"        // no server can be reached
+	AllCold       Reason = "all_cold"        // allowance of cold servers reached
+	AllBackingOff Reason = "all_backing_off" // all have asked for back-off
+	Suspect       Reason = "crash_suspect"   // the request has crashed servers
+	StaleView     Reason = "stale_view"      // the view may not be acted on
+	UnknownLeaf   Reason = "unknown_leaf"
+	NoSuchServer  Reason = "unknown_service"
 )
 
 // Weights of a server's cost.
@@ -195,7 +195,7 @@
 		return 1
 	case AllDown:
 		return 2
-	case AllAsked:
+	case AllBackingOff:
 		return 3
 	case AllCold:
 		return 4
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -72,7 +72,7 @@
 	var first *Target
 	for _, t := range pool.list {
 		t.other = false
-		if t.local || t.gone || t.leaving || !t.scarce {
+		if t.local || t.gone || t.lastResort || !t.scarce {
 			continue
 		}
 		t.other = true
--- a/policy/leaving_test.go
+++ b/policy/leaving_test.go
@@ -55,16 +55,16 @@
 				b.Done(start, b.Begin(start, b.byKey[p.Servers[2].Key()], 0, true), ResultFailed)
 			}
 		}, time.Second, "1", Picked},
-		{"the one that stays asked to be left alone", func(b *Balancer, p *route.Picture) {
+		{"the one that stays asked for back-off", func(b *Balancer, p *route.Picture) {
 			drain(p, start, 0, 1)
-			b.SaidAlone(start, b.byKey[p.Servers[2].Key()], 2*time.Second)
+			b.NoteBackoff(start, b.byKey[p.Servers[2].Key()], 2*time.Second)
 		}, time.Second, "1", Picked},
-		{"by its own word", func(b *Balancer, p *route.Picture) {
-			b.SaidLeaving(start, b.byKey[p.Servers[0].Key()])
+		{"by its own notice", func(b *Balancer, p *route.Picture) {
+			b.NoteLeaving(start, b.byKey[p.Servers[0].Key()])
 			drain(p, start, 1, 2)
 		}, time.Second, "1", Picked},
-		{"by its own word, for good", func(b *Balancer, p *route.Picture) {
-			b.SaidLeaving(start, b.byKey[p.Servers[0].Key()])
+		{"by its own notice, for good", func(b *Balancer, p *route.Picture) {
+			b.NoteLeaving(start, b.byKey[p.Servers[0].Key()])
 			drain(p, start, 1, 2)
 		}, 3 * time.Second, "", AllOut},
 		{"by what it told another host", func(_ *Balancer, p *route.Picture) {
@@ -92,14 +92,14 @@
 			if got.local { // the others cost the same
 				is.Equal(got.ID, c.want)
 			}
-			is.Equal(got.leaving, c.name != "a server that stays goes first")
+			is.Equal(got.lastResort, c.name != "a server that stays goes first")
 		})
 	}
 }
 
-// TestWordsOutlastEntries: what a lifetime said holds while its entry is away,
+// TestNoticesOutlastEntries: what a lifetime said holds while its entry is away,
 // and not for the next lifetime.
-func TestWordsOutlastEntries(t *testing.T) {
+func TestNoticesOutlastEntries(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	b := leavingBalancer(now)
@@ -109,13 +109,13 @@
 	call := b.Begin(now, first, 0, true)
 	b.ApplyPicture(now, testPicture()) // the entry has lapsed, and its call still runs
 	b.Done(now, call, ResultOK)
-	b.SaidLeaving(now, first)
-	b.SaidAlone(now, first, 10*time.Second)
+	b.NoteLeaving(now, first)
+	b.NoteBackoff(now, first, 10*time.Second)
 	now = now.Add(4 * time.Second)
 	b.ApplyPicture(now, p)
 	_, why := b.Choose(now, Choice{Service: "s"})
 	is.Equal(why, AllOut)
-	is.Equal(len(b.words), 0)
+	is.Equal(len(b.notices), 0)
 
 	p.Servers[0].Born = 7
 	b.ApplyPicture(now, p)
@@ -123,24 +123,24 @@
 	is.Equal(why, Picked)
 }
 
-// TestServersThatAskToBeLeftAlone get no call until then, whatever else they
+// TestServersThatAskForBackoff get no call until then, whatever else they
 // said, and are waited for as long as the first one asks.
-func TestServersThatAskToBeLeftAlone(t *testing.T) {
+func TestServersThatAskForBackoff(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	b := leavingBalancer(now)
 	p := testPicture(threeServers...)
 	b.ApplyPicture(now, p)
 	of := func(i int) *Target { return b.byKey[p.Servers[i].Key()] }
-	b.SaidAlone(now, of(0), 3*time.Second)
-	b.SaidAlone(now, of(0), time.Second) // the longer one holds
-	b.SaidAlone(now, of(1), 2*time.Second)
-	is.Equal(b.AloneFor(now, "s"), time.Duration(0))
-	b.SaidAlone(now, of(2), time.Hour)
-	is.Equal(of(2).word.aloneUntil, now.Add(MostAlone))
-	is.Equal(b.AloneFor(now, "s"), 2*time.Second)
+	b.NoteBackoff(now, of(0), 3*time.Second)
+	b.NoteBackoff(now, of(0), time.Second) // the longer one holds
+	b.NoteBackoff(now, of(1), 2*time.Second)
+	is.Equal(b.BackoffLeft(now, "s"), time.Duration(0))
+	b.NoteBackoff(now, of(2), time.Hour)
+	is.Equal(of(2).notice.backoffUntil, now.Add(MaxServerBackoff))
+	is.Equal(b.BackoffLeft(now, "s"), 2*time.Second)
 	_, why := b.Choose(now, Choice{Service: "s"})
-	is.Equal(why, AllAsked)
+	is.Equal(why, AllBackingOff)
 	usable, _ := b.Servers(now, "s")
 	is.Equal(usable, 0)
 	now = now.Add(2 * time.Second)
--- a/policy/target.go
+++ b/policy/target.go
@@ -51,10 +51,10 @@
 	// evacuated is set while the target's data centre is to be left.
 	evacuated      bool
 	evacuatedSince time.Time
-	// leaving targets get calls only where no other takes them, until a time.
-	leaving bool
-	until   time.Time
-	word    word
+	// lastResort targets get calls only where no other takes them, until a time.
+	lastResort bool
+	until      time.Time
+	notice     notice
 	// other targets are away and not the one that this host prefers.
 	other bool
 	// limit is how many calls this host may have in flight to it, most how many
--- a/soak/backend.go
+++ b/soak/backend.go
@@ -70,7 +70,7 @@
 	lives        int
 	down, closed bool
 	// leaving servers say so in their answers; until asking they turn requests
-	// away and ask to be left alone.
+	// away and ask for back-off.
 	leaving bool
 	asking  time.Time
 }
@@ -151,7 +151,7 @@
 	}
 	leaving, asks := b.says()
 	if trouble == 0 || asks > 0 {
-		b.ledger.turn(turned{request: id, server: entry.ID, born: entry.Born, at: time.Now(), alone: asks})
+		b.ledger.turn(turned{request: id, server: entry.ID, born: entry.Born, at: time.Now(), backoff: asks})
 		return write(c, "HTTP/1.1 503 Busy\r\n"+b.headers.NotRun+": 1\r\n"+asksHeader(asks)+"Content-Length: 0\r\n\r\n")
 	}
 	x := execution{
--- a/soak/check.go
+++ b/soak/check.go
@@ -57,7 +57,7 @@
 		}
 	}
 	faults = append(faults, h.crashes(byID)...)
-	faults = append(faults, h.words(byID)...)
+	faults = append(faults, h.notices(byID)...)
 	for _, x := range h.world.hosts {
 		if x.unasked > 0 {
 			add("%s ended %d times by itself", x.Name, x.unasked)
--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -7,26 +7,26 @@
 	"time"
 )
 
-// turned is a request that a backend server turned away; alone is how long it
-// asked to be left alone, or 0.
+// turned is a request that a backend server turned away; backoff is how long it
+// asked for back-off, or 0.
 type turned struct {
 	request string
 	server  string
 	born    int64
 	at      time.Time
-	alone   time.Duration
+	backoff time.Duration
 }
 
 const (
-	// askFor is how long a server asks to be left alone, askingFor bounds how
+	// askFor is how long the back-off is that a server asks for, askingFor bounds how
 	// long it turns requests away.
 	askFor    = 1500 * time.Millisecond
 	askingFor = 3 * time.Second
 	// unpublished bounds how long a server that leaves says so before its
 	// entry does.
 	unpublished = 2 * time.Second
-	// askSlack is how long after its word requests may still reach a server
-	// that asked to be left alone, and mostAsked how many may later: the users'
+	// askSlack is how long after its notice requests may still reach a server
+	// that asked for back-off, and mostAsked how many may later: the users'
 	// rule.
 	askSlack  = 500 * time.Millisecond
 	mostAsked = 2
@@ -34,13 +34,13 @@
 
 // says returns whether the server leaves, and how long it asks to be left
 // alone.
-func (b *backend) says() (leaving bool, alone time.Duration) {
+func (b *backend) says() (leaving bool, backoff time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if time.Now().Before(b.asking) {
-		alone = askFor
+		backoff = askFor
 	}
-	return b.leaving, alone
+	return b.leaving, backoff
 }
 
 func asksHeader(d time.Duration) string {
@@ -57,47 +57,47 @@
 	b.asking = time.Now().Add(time.Duration(b.random.Int64N(int64(askingFor))))
 }
 
-// wordAt names a host that has heard the word of one lifetime of a server.
-type wordAt struct {
+// noticeAt names a host that has the notice of one lifetime of a server.
+type noticeAt struct {
 	host, server string
 	born         int64
 }
 
-// words checks that no host goes on with a server that has told it that it
-// leaves, or that it wants to be left alone. Hosts that were harmed since are
+// notices checks that no host goes on with a server that has told it that it
+// leaves, or that it asks for back-off. Hosts that were harmed since are
 // excused.
-func (h *history) words(byID map[string]*result) (faults []string) {
-	said, asked := make(map[wordAt]time.Time), make(map[wordAt][]turned)
+func (h *history) notices(byID map[string]*result) (faults []string) {
+	said, asked := make(map[noticeAt]time.Time), make(map[noticeAt][]turned)
 	for id, runs := range h.runs {
 		r := byID[id]
 		for _, x := range runs {
 			if r == nil || !x.leaving || !passedOn(h, r, x) {
 				continue
 			}
-			w := wordAt{r.host.Name, x.server, x.born}
+			w := noticeAt{r.host.Name, x.server, x.born}
 			if at, ok := said[w]; !ok || r.ended.Before(at) {
 				said[w] = r.ended
 			}
 		}
 	}
 	for _, x := range h.turned {
-		if r := byID[x.request]; r != nil && x.alone > 0 {
-			w := wordAt{r.host.Name, x.server, x.born}
+		if r := byID[x.request]; r != nil && x.backoff > 0 {
+			w := noticeAt{r.host.Name, x.server, x.born}
 			asked[w] = append(asked[w], x)
 		}
 	}
-	late := make(map[wordAt]int)
+	late := make(map[noticeAt]int)
 	arrived := func(id, server string, born int64, at time.Time) {
 		r := byID[id]
 		if r == nil {
 			return
 		}
-		w := wordAt{r.host.Name, server, born}
+		w := noticeAt{r.host.Name, server, born}
 		if told, ok := said[w]; ok && r.sent.After(told.Add(apply)) && r.host.calm(told, at, false) {
 			faults = append(faults, fmt.Sprintf("request %s reached %s from %s, sent %v after that host passed on that the server leaves", id, server, w.host, r.sent.Sub(told)))
 		}
 		for _, x := range asked[w] {
-			if at.Sub(x.at) > askSlack && at.Sub(x.at) < x.alone && r.host.calm(x.at, at, false) {
+			if at.Sub(x.at) > askSlack && at.Sub(x.at) < x.backoff && r.host.calm(x.at, at, false) {
 				late[w]++
 				break
 			}
@@ -113,10 +113,10 @@
 	}
 	for w, n := range late {
 		if n > mostAsked {
-			faults = append(faults, fmt.Sprintf("%d requests reached %s from %s while it had asked to be left alone", n, w.server, w.host))
+			faults = append(faults, fmt.Sprintf("%d requests reached %s from %s while it had asked for back-off", n, w.server, w.host))
 		}
 	}
-	h.world.notes.add("%d words of servers that leave, %d of servers to be left alone", len(said), len(asked))
+	h.world.notes.add("%d notices of servers that leave, %d of servers that ask for back-off", len(said), len(asked))
 	return faults
 }
 
