--- a/soak/leaving.go
+++ b/soak/leaving.go
@@ -18,8 +18,8 @@
 }
 
 const (
-	// askFor is how long the back-off is that a server asks for, askingFor bounds how
-	// long it turns requests away.
+	// askFor is the back-off that a server asks for, askingFor bounds how long it
+	// turns requests away.
 	askFor    = 1500 * time.Millisecond
 	askingFor = 3 * time.Second
 	// unpublished bounds how long a server that leaves says so before its
@@ -32,8 +32,7 @@
 	mostAsked = 2
 )
 
-// says returns whether the server leaves, and how long it asks to be left
-// alone.
+// says returns whether the server leaves, and the back-off that it asks for.
 func (b *backend) says() (leaving bool, backoff time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,44 +62,71 @@
 	born         int64
 }
 
-// notices checks that no host goes on with a server that has told it that it
-// leaves, or that it asks for back-off. Hosts that were harmed since are
-// excused.
-func (h *history) notices(byID map[string]*result) (faults []string) {
-	said, asked := make(map[noticeAt]time.Time), make(map[noticeAt][]turned)
+// heard is what hosts have heard of servers: when they first passed on that one
+// leaves, and the requests that one turned away asking for back-off.
+type heard struct {
+	leaving map[noticeAt]time.Time
+	backoff map[noticeAt][]turned
+}
+
+// heard returns what hosts have heard, as callers and servers saw it.
+func (h *history) heard(byID map[string]*result) heard {
+	out := heard{make(map[noticeAt]time.Time), make(map[noticeAt][]turned)}
 	for id, runs := range h.runs {
 		r := byID[id]
 		for _, x := range runs {
 			if r == nil || !x.leaving || !passedOn(h, r, x) {
 				continue
 			}
-			w := noticeAt{r.host.Name, x.server, x.born}
-			if at, ok := said[w]; !ok || r.ended.Before(at) {
-				said[w] = r.ended
+			n := noticeAt{r.host.Name, x.server, x.born}
+			if at, ok := out.leaving[n]; !ok || r.ended.Before(at) {
+				out.leaving[n] = r.ended
 			}
 		}
 	}
 	for _, x := range h.turned {
 		if r := byID[x.request]; r != nil && x.backoff > 0 {
-			w := noticeAt{r.host.Name, x.server, x.born}
-			asked[w] = append(asked[w], x)
+			n := noticeAt{r.host.Name, x.server, x.born}
+			out.backoff[n] = append(out.backoff[n], x)
 		}
 	}
-	late := make(map[noticeAt]int)
+	return out
+}
+
+// afterLeaving reports whether a request that was sent then came too late for a
+// server that leaves. Hosts that were harmed since are excused.
+func (d heard) afterLeaving(n noticeAt, r *result, arrived time.Time) bool {
+	told, ok := d.leaving[n]
+	return ok && r.sent.After(told.Add(apply)) && r.host.calm(told, arrived, false)
+}
+
+// duringBackoff reports whether a request came while the server had asked the
+// host for back-off. Hosts that were harmed since are excused.
+func (d heard) duringBackoff(n noticeAt, r *result, arrived time.Time) bool {
+	for _, x := range d.backoff[n] {
+		since := arrived.Sub(x.at)
+		if since > askSlack && since < x.backoff && r.host.calm(x.at, arrived, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// notices checks that no host goes on with a server that has told it that it
+// leaves, or that it asks for back-off.
+func (h *history) notices(byID map[string]*result) (faults []string) {
+	known, early := h.heard(byID), make(map[noticeAt]int)
 	arrived := func(id, server string, born int64, at time.Time) {
 		r := byID[id]
 		if r == nil {
 			return
 		}
-		w := noticeAt{r.host.Name, server, born}
-		if told, ok := said[w]; ok && r.sent.After(told.Add(apply)) && r.host.calm(told, at, false) {
-			faults = append(faults, fmt.Sprintf("request %s reached %s from %s, sent %v after that host passed on that the server leaves", id, server, w.host, r.sent.Sub(told)))
+		n := noticeAt{r.host.Name, server, born}
+		if known.afterLeaving(n, r, at) {
+			faults = append(faults, fmt.Sprintf("request %s reached %s from %s, sent %v after that host passed on that the server leaves", id, server, n.host, r.sent.Sub(known.leaving[n])))
 		}
-		for _, x := range asked[w] {
-			if at.Sub(x.at) > askSlack && at.Sub(x.at) < x.backoff && r.host.calm(x.at, at, false) {
-				late[w]++
-				break
-			}
+		if known.duringBackoff(n, r, at) {
+			early[n]++
 		}
 	}
 	for id, runs := range h.runs {
@@ -111,12 +137,12 @@
 	for _, x := range h.turned {
 		arrived(x.request, x.server, x.born, x.at)
 	}
-	for w, n := range late {
-		if n > mostAsked {
-			faults = append(faults, fmt.Sprintf("%d requests reached %s from %s while it had asked for back-off", n, w.server, w.host))
+	for n, count := range early {
+		if count > mostAsked {
+			faults = append(faults, fmt.Sprintf("%d requests reached %s from %s while it had asked for back-off", count, n.server, n.host))
 		}
 	}
-	h.world.notes.add("%d notices of servers that leave, %d of servers that ask for back-off", len(said), len(asked))
+	h.world.notes.add("%d notices of servers that leave, %d of servers that ask for back-off", len(known.leaving), len(known.backoff))
 	return faults
 }
 
