figmastd: a second signal right after the first is not lost

Cause, from the code: the second signal was taken by a goroutine that might start only after the host had said that it is not ready. The signals are taken before that now. The failure was not brought about again before the change.

--- a/cmd/figmastd/main.go
+++ b/cmd/figmastd/main.go
@@ -45,7 +45,11 @@
 		return exitFailed
 	}
 	first := <-ended
-	go exitOnSignal(logger)
+	// The signals are taken before the host says that it is not ready: an
+	// operator may send the second one at once.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go exitOnSignal(logger, signals)
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(ctx); err != nil {
@@ -56,9 +60,7 @@
 
 // exitOnSignal ends the process without a drain, for an operator's second
 // signal.
-func exitOnSignal(l *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+func exitOnSignal(l *log.Logger, signals <-chan os.Signal) {
 	sig := <-signals
 	l.Error("stopped at once by a second signal", "signal", sig)
 	os.Exit(exitFailed)
