Tests: one listener, spans of slow calls beside their code, owed requests kept

No behaviour and no assertion changed. http1's two stand-ins share one listener; TestSlowSpansOfHosts tests package news alone and stands there; a fleet of hosts keeps when first attempts are sent in place of working the times out a second time.

--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -652,6 +652,7 @@
 	if f.shape.load > 0 {
 		for at, n := f.t0.Add(2*time.Second), uint64(1000); at.Before(end); at, n = at.Add(time.Second/time.Duration(f.shape.load)), n+1 {
 			f.others++
+			f.leaving.owed = append(f.leaving.owed, at)
 			f.events.add(at, func() { f.send(n, 1, at) })
 		}
 	}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"strings"
 	"testing"
@@ -91,7 +92,8 @@
 	// toLeaving are arrivals at servers that leave, within the rules; newLives
 	// those at lifetimes that follow one which left.
 	toLeaving, newLives int
-	// credit is by when the caller sent its first attempt.
+	// owed is when callers send their first attempts, credit what they got.
+	owed   []time.Time
 	credit map[time.Time]float64
 }
 
@@ -173,16 +175,8 @@
 	h := f.hosts[i%len(f.hosts)]
 	h.frozen = f.now.Add(fleetFreeze)
 	// The rules excuse what a host heard before.
-	for k := range f.leaving.said {
-		if k.engine == h.engine {
-			delete(f.leaving.said, k)
-		}
-	}
-	for k := range f.leaving.asked {
-		if k.engine == h.engine {
-			delete(f.leaving.asked, k)
-		}
-	}
+	maps.DeleteFunc(f.leaving.said, func(k saying, _ time.Time) bool { return k.engine == h.engine })
+	maps.DeleteFunc(f.leaving.asked, func(k saying, _ *asked) bool { return k.engine == h.engine })
 	f.events.add(f.now.Add(f.shape.leaving.freezes), func() { f.freeze(i + 1) })
 }
 
@@ -248,8 +242,8 @@
 func (f *hostFleet) creditWhile(from, d time.Duration) float64 {
 	begin := f.t0.Add(fleetCalm + from)
 	var got, owed float64
-	for at, n := f.t0.Add(2*time.Second), 0; at.Before(begin.Add(d)); at, n = at.Add(time.Second/time.Duration(f.shape.load)), n+1 {
-		if !at.Before(begin) {
+	for _, at := range f.leaving.owed {
+		if !at.Before(begin) && at.Before(begin.Add(d)) {
 			owed++
 			got += f.leaving.credit[at]
 		}
--- a/forward/slow_test.go
+++ b/forward/slow_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
@@ -65,48 +64,3 @@
 	told, ok := s.SlowServers(now)[server]
 	return ok && told.Until.Sub(told.Since) > time.Second
 }
-
-// TestSlowSpansOfHosts: a quick answer between slow ones shows that the server
-// is not slow, whichever report comes first.
-func TestSlowSpansOfHosts(t *testing.T) {
-	now := time.Unix(1000, 0)
-	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	for _, c := range []struct {
-		name    string
-		reports []news.Slow
-		slow    bool
-	}{
-		{"one call", []news.Slow{news.NewSlow(now, "x", at(-600), at(-600), time.Time{})}, false},
-		{"calls of one host", []news.Slow{news.NewSlow(now, "x", at(-600), at(-100), time.Time{})}, true},
-		{"calls of two hosts", []news.Slow{news.NewSlow(now, "x", at(-600), at(-600), time.Time{}), news.NewSlow(now, "x", at(-100), at(-100), time.Time{})}, true},
-		{"a quick one between", []news.Slow{
-			news.NewSlow(now, "x", at(-600), at(-100), time.Time{}), news.NewSlow(now, "x", time.Time{}, time.Time{}, at(-300)),
-		}, false},
-		{"a quick one between, told before", []news.Slow{
-			news.NewSlow(now, "x", at(-600), at(-600), at(-300)), news.NewSlow(now, "x", at(-100), at(-100), time.Time{}),
-		}, false},
-		{"a quick one long before", []news.Slow{news.NewSlow(now, "x", at(-600), at(-100), at(-2000))}, true},
-		{"a quick one, and slow for long since", []news.Slow{news.NewSlow(now, "x", at(-1600), at(-100), at(-800))}, true},
-		{"a quick one after", []news.Slow{
-			news.NewSlow(now, "x", at(-600), at(-100), time.Time{}), news.NewSlow(now, "x", time.Time{}, time.Time{}, at(-10)),
-		}, false},
-		{"only quick ones", []news.Slow{news.NewSlow(now, "x", time.Time{}, time.Time{}, at(-10))}, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			for _, list := range [][]news.Slow{c.reports, reversed(c.reports)} {
-				s := news.NewState(now, news.Options{Address: "10.0.0.1", ApplyWithin: fleetApply})
-				s.TakeSlow(now, list)
-				s.TakeSlow(now, list)
-				if got := s.SlowServers(now)["x"].Slow; got != c.slow {
-					t.Errorf("slow: %v, want %v, of %v", got, c.slow, list)
-				}
-			}
-		})
-	}
-}
-
-func reversed(list []news.Slow) []news.Slow {
-	out := slices.Clone(list)
-	slices.Reverse(out)
-	return out
-}
--- a/http1/call_test.go
+++ b/http1/call_test.go
@@ -13,10 +13,9 @@
 	"github.com/matryer/is"
 )
 
-// script serves one connection after the other: for each request on a
-// connection it writes the next text, and closes the connection at its end. A
-// text "reset" resets it, "silent" waits.
-func script(t *testing.T, connections ...[]string) Peer {
+// serve listens, hands each connection with its number to a function of its
+// own goroutine, and returns the server's peer.
+func serve(t *testing.T, handle func(number int, c *net.TCPConn)) Peer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,17 +23,31 @@
 	}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
-		for _, texts := range connections {
+		for number := 0; ; number++ {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go play(c.(*net.TCPConn), texts)
+			go handle(number, c.(*net.TCPConn))
 		}
 	}()
 	return Peer{Name: "i-1", Address: l.Addr().String()}
 }
 
+// script serves one connection after the other: for each request on a
+// connection it writes the next text, and closes the connection at its end. A
+// text "reset" resets it, "silent" waits. Further connections stay silent.
+func script(t *testing.T, connections ...[]string) Peer {
+	t.Helper()
+	return serve(t, func(number int, c *net.TCPConn) {
+		if number < len(connections) {
+			play(c, connections[number])
+			return
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	})
+}
+
 func play(c *net.TCPConn, texts []string) {
 	r := bufio.NewReader(c)
 	for _, text := range texts {
--- a/http1/late_test.go
+++ b/http1/late_test.go
@@ -16,21 +16,7 @@
 // before that one's answer.
 func repeater(t *testing.T, early int, sent chan<- struct{}) Peer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for first := true; ; first = false {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go repeat(c, first, early, sent)
-		}
-	}()
-	return Peer{Name: "i-1", Address: l.Addr().String()}
+	return serve(t, func(number int, c *net.TCPConn) { repeat(c, number == 0, early, sent) })
 }
 
 func repeat(c net.Conn, again bool, early int, sent chan<- struct{}) {
