--- a/http1/call_test.go
+++ b/http1/call_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -44,7 +45,7 @@
 			play(c, connections[number])
 			return
 		}
-		t.Cleanup(func() { _ = c.Close() })
+		_, _ = io.Copy(io.Discard, c)
 	})
 }
 
