policy, gateway: log the request limits that servers name

An answer's request limit is parsed, kept for the server's incarnation, counted, and each change is logged with the calls that this host sent under the limit before. No decision reads it.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -68,6 +68,10 @@
 	// host.
 	Leaving bool
 	Backoff time.Duration
+	// Limit is what the answer says about the server's request limit.
+	Limit route.RequestLimit
+	// InvalidLimit is a value of the header that is no limit, in quotes.
+	InvalidLimit string
 	// Signature and Body hold what a gather route merges of the response.
 	Signature string
 	Body      []byte
@@ -281,6 +285,7 @@
 	if reply.Backoff > 0 {
 		e.opts.Balancer.RecordBackoff(now, c.target, reply.Backoff)
 	}
+	e.opts.Balancer.RecordLimit(now, c.target, reply.Limit)
 	if reply.Outcome == Broken {
 		c.part.run.brokenCalls++
 	}
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -9,6 +9,7 @@
 
 	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/route"
 )
 
 // outcomeNames maps call outcomes to their metric labels.
@@ -31,6 +32,9 @@
 	// backoffNotices count the responses that announce leaving or ask this host
 	// to back off.
 	lastResortCalls, leavingNotices, backoffNotices *metrics.Counter
+	// limitNotices counts the responses that name a request limit, limitFaults
+	// those with an invalid one.
+	limitNotices, limitFaults *metrics.Counter
 }
 
 func newHostMetrics() *hostMetrics {
@@ -45,6 +49,8 @@
 	m.lastResortCalls = m.set.NewCounter("figmast_last_resort_calls_total")
 	m.leavingNotices = m.set.NewCounter(`figmast_server_notices_total{notice="leaving"}`)
 	m.backoffNotices = m.set.NewCounter(`figmast_server_notices_total{notice="backoff"}`)
+	m.limitNotices = m.set.NewCounter(`figmast_server_notices_total{notice="limit"}`)
+	m.limitFaults = m.set.NewCounter(`figmast_server_notices_total{notice="invalid_limit"}`)
 	return m
 }
 
@@ -58,6 +64,12 @@
 	if r.Backoff > 0 {
 		m.backoffNotices.Inc()
 	}
+	if r.Limit.State == route.Limited {
+		m.limitNotices.Inc()
+	}
+	if r.InvalidLimit != "" {
+		m.limitFaults.Inc()
+	}
 	m.calls[r.Outcome].Inc()
 	m.callDurations.Update(took.Seconds())
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -154,9 +155,12 @@
 		}
 		reply.Detail += fault
 	}
-	// A 421 comes from another server at the same address; its notice does not
+	// A 421 comes from another server at the same address; its notices do not
 	// concern the server that was called.
-	reply.Leaving = !reply.Misdirected && a.Header.Get(r.headers.Leaving) == leavingValue
+	if !reply.Misdirected {
+		reply.Leaving = a.Header.Get(r.headers.Leaving) == leavingValue
+		reply.Limit, reply.InvalidLimit = parseRequestLimit(a.Header.Values(r.headers.RequestLimit))
+	}
 	return reply
 }
 
@@ -179,6 +183,29 @@
 	return d, fault
 }
 
+// maxLoggedValue bounds how much of an invalid header value is logged.
+const maxLoggedValue = 40
+
+// parseRequestLimit returns the request limit that the values of the header name,
+// and the last invalid value in quotes, if there is one. Of several values the
+// lowest holds. If all values are invalid, the limit is unknown.
+func parseRequestLimit(values []string) (limit route.RequestLimit, invalid string) {
+	if len(values) == 0 {
+		return route.NoLimit, ""
+	}
+	for _, v := range values {
+		rate, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+		if err != nil || !(rate >= 0) || math.IsInf(rate, 0) { // the negation also rejects NaN
+			invalid = fmt.Sprintf("%.*q", maxLoggedValue, v)
+			continue
+		}
+		if limit.State != route.Limited || rate < limit.Rate {
+			limit = route.LimitedTo(rate)
+		}
+	}
+	return limit, invalid
+}
+
 // classifyResponse determines from a response whether the request ran and
 // whether it succeeded.
 func (r *runner) classifyResponse(a *http1.Response) forward.Reply {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,7 @@
 		DrainFor: s.DrainFor, EvacuateFor: s.EvacuateFor,
 	})
 	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: s.CPUCapacity, Heartbeat: s.Heartbeat})
-	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.metrics)
+	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.metrics, l)
 	g.handler = &callerHandler{runner: g.runner, headers: p.Headers, log: l, metrics: g.metrics}
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
 	state := news.NewState(g.started, newsOptions(s, p.Decoder, event))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -172,9 +172,10 @@
 	}
 	header := w.Header()
 	for _, name := range endToEndHeaders(a.Header) {
-		if !strings.EqualFold(name, h.headers.Leaving) { // meant for this host only
-			header[name] = a.Header[name]
+		if strings.EqualFold(name, h.headers.Leaving) || strings.EqualFold(name, h.headers.RequestLimit) {
+			continue // meant for this host only
 		}
+		header[name] = a.Header[name]
 	}
 	disableSniffing(header)
 	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -26,7 +26,7 @@
 )
 
 var testHeaders = Headers{
-	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sign", ExpectServer: "X-Server", NotRun: "X-Not-Run", Leaving: "X-Leaves",
+	RequestID: "X-Id", DeadlineMs: "X-Left", Signature: "X-Sign", ExpectServer: "X-Server", NotRun: "X-Not-Run", Leaving: "X-Leaves", RequestLimit: "X-Limit",
 	Signatures: "X-Signs", Missing: "X-Lacks", ReadyPath: "/ready",
 }
 
@@ -137,7 +137,7 @@
 	logger, lines := NewLogger(io.Discard, "h")
 	t.Cleanup(lines.Close)
 	metrics := newHostMetrics()
-	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: 1}), metrics)
+	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: 1}), metrics, logger)
 	r.start()
 	t.Cleanup(r.shutdown)
 	g := &testGateway{callerHandler: &callerHandler{runner: r, headers: testHeaders, log: logger, metrics: metrics}}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/http1"
 	"github.com/figmast/figmast/news"
@@ -21,6 +23,7 @@
 	pool    *http1.Pool
 	headers Headers
 	metrics *hostMetrics
+	log     *log.Logger
 
 	mu       sync.Mutex
 	balancer *policy.Balancer
@@ -31,6 +34,8 @@
 	// earlier; zero before its first tick.
 	sleepsUntil time.Time
 	dataCentre  string
+	// faultLines bounds the log lines about invalid headers of servers.
+	faultLines lineLimiter
 
 	topology atomic.Pointer[route.Topology]
 	// confirmedAt is when the metadata store was last known to hold nothing
@@ -67,9 +72,9 @@
 	return 0
 }
 
-func newRunner(now func() time.Time, s Settings, h Headers, b *policy.Balancer, e *forward.Engine, m *hostMetrics) *runner {
+func newRunner(now func() time.Time, s Settings, h Headers, b *policy.Balancer, e *forward.Engine, m *hostMetrics, l *log.Logger) *runner {
 	r := &runner{
-		now: now, headers: h, balancer: b, engine: e, dataCentre: s.DataCentre, metrics: m,
+		now: now, headers: h, balancer: b, engine: e, dataCentre: s.DataCentre, metrics: m, log: l,
 		pool:     http1.NewPool(http1.Options{RequestIDHeader: h.RequestID, Now: now, MaxBufferedBytes: s.MemoryBytes / bufferDivisor}),
 		requests: make(map[forward.RunID]*pendingRequest), cancels: make(map[forward.CallID]context.CancelFunc),
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
@@ -109,6 +114,10 @@
 	for _, s := range r.balancer.TakeLeavingNotices() {
 		observed.Leaving = append(observed.Leaving, news.NewLeavingReport(s.Server, now.Sub(s.At)))
 	}
+	for _, c := range r.balancer.TakeLimitChanges() {
+		r.log.Info("server changed its request limit", "server", c.Server.ID, "address", c.Server.Address, "born", c.Server.StartUnixMs,
+			"limit", c.Limit.String(), "previous", c.Previous.String(), "calls", c.Calls, "for_ms", c.For.Milliseconds())
+	}
 	return observed
 }
 
@@ -213,6 +222,7 @@
 	r.metrics.observeCall(s, reply, r.now().Sub(began))
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.logInvalidLimit(s.Target, reply)
 	if cancel := r.cancels[s.Call]; cancel != nil {
 		cancel()
 		delete(r.cancels, s.Call)
@@ -220,6 +230,16 @@
 	r.perform(r.engine.HandleReply(r.now(), s.Call, reply))
 }
 
+// logInvalidLimit logs a request limit that cannot be read. The caller holds mu.
+func (r *runner) logInvalidLimit(t *policy.Target, reply forward.Reply) {
+	if reply.InvalidLimit == "" {
+		return
+	}
+	if skipped, ok := r.faultLines.admit(r.now()); ok {
+		r.log.Warn("server named an invalid request limit", "server", t.ID, "value", reply.InvalidLimit, "lines_left_out", skipped)
+	}
+}
+
 // canSend reports whether a call may still be sent to a server. It is checked
 // right before the write, as opening a connection or a suspension of the
 // machine may have taken long.
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -76,6 +76,9 @@
 	// Leaving marks, with the value 1, the responses of a backend server that
 	// is about to leave.
 	Leaving string
+	// RequestLimit holds the number of requests per second that a backend server
+	// takes from all hosts together.
+	RequestLimit string
 	// Signatures lists the signatures of the parts of a merged response,
 	// Missing counts the parts that are not in it.
 	Signatures string
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -70,6 +70,8 @@
 	notices map[route.ServerKey]notice
 	// pendingNotices are those not reported to the other hosts yet.
 	pendingNotices []LeavingNotice
+	// pendingLimits are the changes of request limits not taken yet.
+	pendingLimits []LimitChange
 }
 
 // targetPool holds the backend servers of one service.
@@ -287,6 +289,7 @@
 	c := &Call{Target: t, Sent: now, ExpectedLatency: expectedLatency}
 	t.calls = append(t.calls, c)
 	t.allowColdCall(now, true)
+	t.heardLimit.calls++
 	if first {
 		t.pool.retries.addFirst(now, b.opts.RetryWindow)
 	}
--- a/policy/target.go
+++ b/policy/target.go
@@ -82,6 +82,8 @@
 	// fastCallRatio).
 	lastFastAt time.Time
 
+	heardLimit heardLimit
+
 	coldUntil    time.Time
 	coldBudget   tokenBucket
 	coldRate     float64
@@ -98,7 +100,7 @@
 }
 
 func newTarget(now time.Time, p *targetPool, s route.Server) *Target {
-	t := &Target{Server: s, pool: p, hash: xxhash.Sum64String(s.ID + "\x00" + s.Address), latencyFactor: 1, latencyFactorAt: now}
+	t := &Target{Server: s, pool: p, hash: xxhash.Sum64String(s.ID + "\x00" + s.Address), latencyFactor: 1, latencyFactorAt: now, heardLimit: heardLimit{since: now}}
 	if s.ColdLeft > 0 {
 		t.coldUntil = now.Add(s.ColdLeft)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -158,6 +159,44 @@
 	Until time.Time
 }
 
+// RequestLimit is what an answer of a backend server says about how many
+// requests the server takes.
+type RequestLimit struct {
+	State LimitState
+	// Rate is the number of requests per second that the server takes from all
+	// hosts together; it is 0 unless State is Limited.
+	Rate float64
+}
+
+// LimitState tells whether a server limits the requests that it takes.
+type LimitState int
+
+// States of a server's request limit.
+const (
+	// LimitUnknown answers say nothing about a limit.
+	LimitUnknown LimitState = iota
+	Unlimited
+	Limited
+)
+
+// String returns the limit for logs.
+func (l RequestLimit) String() string {
+	switch l.State {
+	case Limited:
+		return strconv.FormatFloat(l.Rate, 'g', -1, 64) + " a second"
+	case Unlimited:
+		return "none"
+	case LimitUnknown:
+	}
+	return "unknown"
+}
+
+// LimitedTo returns the limit of a server that names one.
+func LimitedTo(rate float64) RequestLimit { return RequestLimit{Limited, rate} }
+
+// NoLimit is what a server says that names no limit.
+var NoLimit = RequestLimit{State: Unlimited}
+
 // Topology is a host's view of the deployment. It is immutable.
 type Topology struct {
 	// Config is nil until a configuration is known.
