--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -81,6 +81,7 @@
 	// the other.
 	replaceInterval time.Duration
 	leaving         leavingShape
+	limits          limitShape
 	// slowCallShare of the calls take slowCallFactor times as long. From slowAt
 	// on, one of slowServerStride servers takes slowServerFactor times as long.
 	slowCallShare    float64
@@ -121,6 +122,7 @@
 	incarnation int
 	notices     serverNotices
 	index       int
+	replica     int
 	running     int
 	queue       []*hostCall
 	calls       []*hostCall
@@ -202,6 +204,7 @@
 	others         int
 
 	leaving leavingStats
+	limits  limitStats
 }
 
 // fleetDecoder decodes store entries that hold a route.Server as JSON.
@@ -230,7 +233,7 @@
 	f := &hostFleet{
 		shape: shape, t0: time.Unix(1000, 0), now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 5)),
 		byAddress: make(map[string]*hostedServer), store: make(map[string]news.Item),
-		extraCalls: make(map[string][]time.Time), arrived: make(map[arrival]bool), leaving: newLeavingStats(),
+		extraCalls: make(map[string][]time.Time), arrived: make(map[arrival]bool), leaving: newLeavingStats(), limits: newLimitStats(),
 	}
 	f.rt = singleRoute(!shape.nonIdempotent)
 	names := []string{"s"}
@@ -244,7 +247,7 @@
 			s := &hostedServer{Server: route.Server{
 				ID: fmt.Sprintf("%s-%d.0", name, j), Service: name, Address: fmt.Sprintf("10.%d.%d.1:80", i, j),
 				DataCentre: string(rune('a' + j%3)), Slots: 6, StartUnixMs: 1,
-			}, up: true, index: len(f.servers)}
+			}, up: true, index: len(f.servers), replica: j}
 			f.servers = append(f.servers, s)
 			f.byAddress[s.Address] = s
 			f.register(s)
@@ -272,6 +275,11 @@
 		f.events.add(f.now.Add(fleetWarmUp), func() { f.replaceServer(0) })
 	}
 	f.scheduleLeaving()
+	if at := shape.limits.restartAt; at > 0 {
+		f.events.add(f.t0.Add(fleetWarmUp+at), func() {
+			f.crashMany(func(i int) bool { return f.isLimited(f.servers[i]) })
+		})
+	}
 	return f
 }
 
@@ -472,6 +480,7 @@
 		f.arrivals = append(f.arrivals, f.now)
 	}
 	f.countViolations(c, s)
+	f.recordLimitedArrival(noticeKey{c.engine, s, s.incarnation}, s)
 	if r, turned := f.backoffReply(s); turned {
 		f.endLater(c, r)
 		return
@@ -523,6 +532,7 @@
 			s.calls = slices.DeleteFunc(s.calls, func(x *hostCall) bool { return x == c })
 			r := ok("0123456789abcdef")
 			r.Leaving = f.announcesLeaving(s)
+			r.Limit = f.namedLimit(s)
 			f.endLater(c, r)
 			f.startQueued(s)
 		})
@@ -614,11 +624,20 @@
 	}
 }
 
+// anyHost returns the host that a caller's connection reaches.
+func (f *hostFleet) anyHost() *fleetHost {
+	n := len(f.hosts)
+	if f.shape.limits.skewed {
+		return f.hosts[min(f.random.IntN(n), f.random.IntN(n))]
+	}
+	return f.hosts[f.random.IntN(n)]
+}
+
 // send simulates a caller's attempt at a random host.
 func (f *hostFleet) send(fingerprint uint64, retries int, first time.Time) {
-	h := f.hosts[f.random.IntN(len(f.hosts))]
+	h := f.anyHost()
 	for f.now.Before(h.frozenUntil) {
-		h = f.hosts[f.random.IntN(len(f.hosts))]
+		h = f.anyHost()
 	}
 	x := &hostRequest{fingerprint, retries, f.now, first}
 	f.requestTimes = append(f.requestTimes, f.now)
@@ -636,6 +655,9 @@
 	delete(h.requests, x.Run)
 	blamed := strings.Contains(x.Reason, "crashed")
 	good := x.Verdict == PassThrough || x.Verdict == Merged
+	if x.Verdict == Failed || x.Verdict == Expired {
+		f.limits.failed++
+	}
 	switch {
 	case r.fingerprint == crashingFingerprint && blamed:
 		f.refused++
@@ -664,6 +686,11 @@
 			f.others++
 			f.leaving.firstAttempts = append(f.leaving.firstAttempts, at)
 			f.events.add(at, func() { f.send(n, 1, at) })
+			if l := f.shape.limits; l.burstAt > 0 && f.sinceWarmUp(at) >= l.burstAt {
+				for i := 1; i < l.burstFactor; i++ {
+					f.events.add(at, func() { f.send(n<<16+uint64(i), 0, at) })
+				}
+			}
 		}
 	}
 	for f.now.Before(end) {
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -213,6 +213,7 @@
 	if r.Leaving && f.leaving.leavingNotices[k].IsZero() {
 		f.leaving.leavingNotices[k] = f.now
 	}
+	f.recordToldLimit(k, r)
 	if r.Backoff > 0 {
 		if old := f.leaving.backoffNotices[k]; old == nil || !f.now.Before(old.until) {
 			f.leaving.backoffNotices[k] = &backoffNotice{at: f.now, until: f.now.Add(r.Backoff)}
