policy, forward, news: keep to the request limits that servers name

Cause: a server's announcement binds all hosts together, and no host read it.

Now each host keeps to an equal part of the limit for each incarnation of a server, counted where every call begins. Where the parts come to whole requests they are token buckets whose depths add up to a bounded burst; in a fleet so large that they are fractions, a decision uses its fraction up and admits the call with that probability, the same random number for all parts of a request. Limits and their ends spread over the links between hosts, by the age of the answer that told them. A request that the limits leave with too few parts is refused before its first call, with the wait that they give. Servers without a limit go first; what is saved is kept for calls that no other server takes, for urgent requests and last for hedges. A limited server gets a call in five seconds at least, or nobody hears that the limit is over.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -285,7 +285,7 @@
 	if reply.Backoff > 0 {
 		e.opts.Balancer.RecordBackoff(now, c.target, reply.Backoff)
 	}
-	e.opts.Balancer.RecordLimit(now, c.target, reply.Limit)
+	e.opts.Balancer.RecordLimit(now, c.policyCall.Sent, c.target, reply.Limit)
 	if reply.Outcome == Broken {
 		c.part.run.brokenCalls++
 	}
--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -391,6 +391,12 @@
 	for _, x := range h.balancer.TakeLeavingNotices() {
 		h.state.AddLeavingReports(f.now, []news.LeavingReport{news.NewLeavingReport(x.Server, f.now.Sub(x.At))})
 	}
+	for _, x := range h.balancer.TakeLimitChanges() {
+		h.state.AddLimitReports(f.now, []news.LimitReport{news.NewLimitReport(x.Server, x.Limit, f.now.Sub(x.At))})
+	}
+	if limits := h.state.LimitReports(f.now); limits != nil {
+		h.balancer.SetReportedLimits(f.now, limits)
+	}
 	h.balancer.SetSlowServers(h.state.SlowServers(f.now))
 	for _, x := range h.balancer.TakeSlowSpans() {
 		h.state.AddSlowReports(f.now, []news.SlowReport{news.NewSlowReport(f.now, x.Server, x.From, x.To, x.LastFast)})
@@ -666,6 +672,7 @@
 		f.falselyRefused++
 	case good:
 		f.served++
+		f.limits.answered[r.firstSentAt] = true
 		f.leaving.recordAnswer(f.rt, r, x, f.now)
 	}
 	if good || r.retries == 0 || x.Verdict == Failed && f.shape.nonIdempotent {
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -26,9 +27,12 @@
 	// restartAt is when the servers that name a limit restart without one.
 	restartAt time.Duration
 	// minServed is the share of the requests sent while limits are named that
-	// must be served in time. It is relative to what the limits allow if no
-	// server is unlimited.
+	// must be answered: in time if a server is unlimited, else at all and relative
+	// to what the limits allow.
 	minServed float64
+	// liftedWithin is how soon after the end of the limits the servers must get
+	// their usual share again; 0 means limitLifted.
+	liftedWithin time.Duration
 }
 
 const (
@@ -62,12 +66,14 @@
 	counted  map[*hostedServer][]time.Time
 	// failed counts the attempts that may have run and were not answered.
 	failed int
+	// answered holds the send times of the first attempts of answered requests.
+	answered map[time.Time]bool
 }
 
 func newLimitStats() limitStats {
 	return limitStats{
 		firstNamed: make(map[*hostedServer]time.Time), told: make(map[noticeKey]time.Time),
-		arrivals: make(map[*hostedServer][]time.Time), counted: make(map[*hostedServer][]time.Time),
+		arrivals: make(map[*hostedServer][]time.Time), counted: make(map[*hostedServer][]time.Time), answered: make(map[time.Time]bool),
 	}
 }
 
@@ -165,6 +171,21 @@
 	return served / sent
 }
 
+// answeredShare returns the same for requests that were answered at all, by a
+// caller's second attempt too.
+func (f *hostFleet) answeredShare(from, length time.Duration) float64 {
+	var answered, sent float64
+	for _, at := range f.leaving.firstAttempts {
+		if d := f.sinceWarmUp(at); d >= from && d < from+length {
+			sent++
+			if f.limits.answered[at] {
+				answered++
+			}
+		}
+	}
+	return answered / sent
+}
+
 // allowedShare returns which share of the requests the limits allow.
 func (f *hostFleet) allowedShare() float64 {
 	l := f.shape.limits
@@ -220,10 +241,10 @@
 	{"all servers, few requests each", fleetShape{hosts: 9, servers: 6, load: 60, limits: everywhere(4)}},
 	{"all servers, not idempotent", fleetShape{hosts: 9, load: 60, nonIdempotent: true, limits: everywhere(8)}},
 	{"all servers, one request a second", fleetShape{hosts: 9, load: 60, limits: everywhere(1)}},
-	{"a fifth of a request a second", fleetShape{hosts: 9, load: 60, limits: beside(0.2)}},
+	{"a fifth of a request a second", fleetShape{hosts: 9, load: 60, limits: with(beside(0.2), func(l *limitShape) { l.liftedWithin = 20 * time.Second })}},
 	{"lowered", fleetShape{hosts: 9, shards: 10, load: 120, limits: with(beside(40), func(l *limitShape) { l.laterRate, l.length = 10, 20*time.Second })}},
 	{"raised", fleetShape{hosts: 9, shards: 10, load: 120, limits: with(everywhere(8), func(l *limitShape) { l.laterRate, l.length = 40, 20*time.Second })}},
-	{"next to none, then lifted", fleetShape{hosts: 9, load: 90, limits: beside(1e-9)}},
+	{"next to none, then lifted", fleetShape{hosts: 9, load: 90, limits: with(beside(1e-9), func(l *limitShape) { l.liftedWithin = 20 * time.Second })}},
 	{"burst", fleetShape{hosts: 9, shards: 10, load: 30, limits: with(beside(15), func(l *limitShape) { l.burstAt, l.burstFactor = 9*time.Second, 5 })}},
 	{"slow calls", fleetShape{hosts: 9, shards: 10, load: 100, slowCallShare: 0.05, limits: beside(15)}},
 	{"hosts restart", fleetShape{hosts: 9, shards: 10, load: 100, hostRestartInterval: 900 * time.Millisecond, limits: beside(15)}},
@@ -248,7 +269,8 @@
 				shape.servers = 3
 			}
 			shape.sameID, shape.restartAfter = true, 200*time.Millisecond
-			shape.duration = shape.limits.start + shape.limits.length + 2*limitLifted + limitEnd
+			shape.limits.liftedWithin = cmp.Or(shape.limits.liftedWithin, limitLifted)
+			shape.duration = shape.limits.start + shape.limits.length + shape.limits.liftedWithin + limitLifted + limitEnd
 			f := newHostFleet(shape, uint64(i))
 			f.play()
 			checkLimits(t, f)
@@ -258,25 +280,26 @@
 
 func checkLimits(t *testing.T, f *hostFleet) {
 	l := f.shape.limits
+	lifted := l.start + l.length + l.liftedWithin
 	told, all := f.overLimit()
 	served := f.servedShare(l.start+fleetSyncTime, l.length-fleetSyncTime)
+	answered := f.answeredShare(l.start+fleetSyncTime, l.length-fleetSyncTime)
 	named := f.arrivalRate(l.start+fleetSyncTime, l.length-fleetSyncTime)
-	after := f.arrivalRate(l.start+l.length+limitLifted, limitLifted)
-	t.Logf("%.3f served while limited, %.1f arrivals a second at servers with a limit of %v, %.1f after it; %d requests failed", served, named, l.rate, after, f.limits.failed)
+	after := f.arrivalRate(lifted, limitLifted)
+	t.Logf("%.3f served in time and %.3f answered while limited, %.1f arrivals a second at servers with a limit of %v, %.1f after it; %d requests failed", served, answered, named, l.rate, after, f.limits.failed)
 	if told > 0 {
 		t.Errorf("%d requests more than the rule allows from hosts that were told", told)
 	}
 	if f.shape.hostRestartInterval == 0 && all > 0 { // restarted hosts know nothing until they are told
 		t.Errorf("%d requests more than the rule allows from all hosts", all)
 	}
-	want := l.minServed
-	if l.unlimited == 0 {
-		want *= f.allowedShare()
+	if l.unlimited > 0 && served < l.minServed {
+		t.Errorf("%.3f of the requests served in time while limited, want at least %.3f", served, l.minServed)
 	}
-	if served < want {
-		t.Errorf("%.3f of the requests served in time while limited, want at least %.3f", served, want)
+	if want := l.minServed * f.allowedShare(); l.unlimited == 0 && answered < want {
+		t.Errorf("%.3f of the requests answered while limited, want at least %.3f", answered, want)
 	}
-	if got := f.servedShare(l.start+l.length+limitLifted, limitLifted); got < minServedBeside {
+	if got := f.servedShare(lifted, limitLifted); got < minServedBeside {
 		t.Errorf("%.3f of the requests served in time after the limits, want at least %.3f", got, minServedBeside)
 	}
 	if usual := float64(f.shape.load) / float64(f.shape.servers) / 3; l.restartAt == 0 && after < usual {
--- a/forward/part.go
+++ b/forward/part.go
@@ -90,11 +90,14 @@
 
 // mayBecomeFree reports whether a server may become available without a change
 // of the configuration or of a server's health.
-func mayBecomeFree(r policy.Reason) bool { return r == policy.AllBusy || r == policy.AllCold }
+func mayBecomeFree(r policy.Reason) bool {
+	return r == policy.AllBusy || r == policy.AllCold || r == policy.AllLimited
+}
 
 func (p *part) choose(now time.Time, hedge bool) (*policy.Target, policy.Reason) {
 	return p.run.engine.opts.Balancer.Choose(now, policy.ChooseInfo{
 		Service: p.service.name, ExpectedLatency: p.run.stats.medianLatency(), Tried: p.tried, Hedge: hedge,
+		Urgent: p.run.req.Route.Priority == 0, Draw: p.run.drawAt(now),
 		Regions: p.run.req.Route.AllowedRegions,
 	})
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -39,6 +39,9 @@
 	// that completes no calls, even if few parts are ahead of it. The remainder
 	// is little more than a caller needs to try elsewhere.
 	stalledWaitShare = 0.5
+	// limitPatienceShare is the share of the time left for an answer in time that
+	// a part waits for servers with request limits.
+	limitPatienceShare = 0.25
 )
 
 func (e *Engine) service(name string) *service {
@@ -94,6 +97,9 @@
 // wait too long.
 func (s *service) waitTooLong(now time.Time, p *part, ahead int) (string, bool) {
 	remaining := p.run.expiry().Sub(now)
+	if wait := s.engine.opts.Balancer.LimitWait(now, s.name, ahead+1); wait > 0 {
+		return string(policy.AllLimited), wait > p.run.limitPatience(now)
+	}
 	if ahead >= smallQueue {
 		return string(policy.AllBusy), s.queueDelay(now, ahead) > time.Duration(maxWaitShare*float64(remaining))
 	}
@@ -112,6 +118,7 @@
 		return
 	}
 	s.recheckAt = now.Add(recheckInterval)
+	s.dispatch(now)
 	order := slices.SortedFunc(slices.Values(s.queue), func(a, b *part) int { return compareUrgency(now, a, b) })
 	ahead := 0
 	for _, p := range order {
@@ -129,6 +136,16 @@
 	}
 }
 
+// limitPatience returns how long a part may wait for servers with request limits.
+// A caller that is refused early can still be answered in time by another host,
+// which may have capacity left.
+func (r *run) limitPatience(now time.Time) time.Duration {
+	if inTime := r.objective.Sub(now); inTime > 0 {
+		return time.Duration(limitPatienceShare * float64(inTime))
+	}
+	return time.Duration(limitPatienceShare * float64(r.expiry().Sub(now)))
+}
+
 // queueDelay returns how long it takes to dispatch n queued parts.
 func (s *service) queueDelay(now time.Time, n int) time.Duration {
 	rate := s.completionRate(now)
@@ -215,6 +232,9 @@
 	if reason == policy.NoServer || reason == policy.AllDown || reason == policy.AllOut {
 		d = max(d, unreachableRetryAfter)
 	}
+	if reason == policy.AllLimited {
+		d = max(d, r.limitWait(now))
+	}
 	d = min(max(d, minRetryAfter), maxRetryAfter)
 	for i := range r.parts {
 		if p := &r.parts[i]; p.state != partAnswered {
@@ -223,3 +243,13 @@
 	}
 	return d + time.Duration(retryJitter*r.engine.opts.Rand.Float64()*float64(d))
 }
+
+// limitWait returns how long it takes until this host may call the servers of
+// every part, the queued parts included.
+func (r *run) limitWait(now time.Time) (longest time.Duration) {
+	for i := range r.parts {
+		s := r.parts[i].service
+		longest = max(longest, r.engine.opts.Balancer.LimitWait(now, s.name, s.queueLen()+1))
+	}
+	return longest
+}
--- a/forward/run.go
+++ b/forward/run.go
@@ -41,9 +41,11 @@
 	// crash has been reported for the request.
 	answeredBy    *policy.Target
 	crashReported bool
-	trace         []string
-	timer         timers.Timer
-	done          bool
+	// draw is the random number for the first calls of all parts.
+	draw  float64
+	trace []string
+	timer timers.Timer
+	done  bool
 }
 
 // maxTrace bounds the trace of one request.
@@ -59,7 +61,7 @@
 func (r *run) Timer() *timers.Timer { return &r.timer }
 
 func (e *Engine) newRun(now time.Time, id RunID, req Request) *run {
-	r := &run{engine: e, id: id, req: req, startedAt: now, timer: timers.Timer{Order: uint64(id)}, stats: e.statsFor(req.Route)}
+	r := &run{engine: e, id: id, req: req, startedAt: now, timer: timers.Timer{Order: uint64(id)}, stats: e.statsFor(req.Route), draw: e.opts.Rand.Float64()}
 	margin := deliveryMargin(e.opts.CPUCapacity, max(len(req.Route.Gather), 1))
 	r.objective = now.Add(req.Route.Objective - req.Elapsed - margin)
 	return r
@@ -84,6 +86,10 @@
 		r.refuse(now, string(reason), r.retryAfter(now, reason))
 		return
 	}
+	if r.isOverLimit(now) {
+		r.refuse(now, string(policy.AllLimited), r.retryAfter(now, policy.AllLimited))
+		return
+	}
 	for i := range r.parts {
 		if r.done {
 			return
@@ -114,6 +120,35 @@
 	return policy.NoServer, true
 }
 
+// drawAt returns the random number for a decision at now.
+func (r *run) drawAt(now time.Time) float64 {
+	if now.Equal(r.startedAt) {
+		return r.draw
+	}
+	return r.engine.opts.Rand.Float64()
+}
+
+// isOverLimit reports whether the request limits of the servers leave the request
+// with too few parts. It is asked before the first call, so that such a request
+// uses up none of the other servers' capacity. A request of several parts does not
+// wait: while some of its parts wait, others are answered for nothing.
+func (r *run) isOverLimit(now time.Time) bool {
+	reachable := len(r.parts)
+	for i := range r.parts {
+		p := &r.parts[i]
+		if r.engine.opts.Balancer.LimitWait(now, p.service.name, 1) == 0 {
+			continue
+		}
+		if target, reason := p.choose(now, false); target != nil || reason != policy.AllLimited {
+			continue
+		}
+		if _, late := p.service.shouldRefuse(now, p); late || r.isGather() {
+			reachable--
+		}
+	}
+	return !r.sufficient(reachable)
+}
+
 // isGather reports whether the answer is merged from parts.
 func (r *run) isGather() bool { return len(r.req.Route.Gather) > 0 }
 
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -94,6 +94,8 @@
 			return
 		case strings.Contains(target, "leaves"):
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "limit"):
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Limit: 0.5\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "alone"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "busy"):
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -52,3 +54,25 @@
 		})
 	}
 }
+
+// TestServerWithARequestLimit: the only server of a service names a limit. Callers
+// beyond it are refused at once with a Retry-After, and the header of the server is
+// not passed on.
+func TestServerWithARequestLimit(t *testing.T) {
+	is := is.New(t)
+	b := newBackend(t)
+	g := newTestGateway(t, b)
+	resp, _ := g.send(t, "GET /p/limit"+get+"\r\n")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(resp.Header.Get("X-Limit"), "")
+	for range 5 {
+		began := time.Now()
+		resp, _ := g.send(t, "GET /p/limit"+get+"\r\n")
+		is.Equal(resp.StatusCode, 503)
+		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(after > 0.5)
+		is.True(time.Since(began) < 300*time.Millisecond) // less than the caller's timeout of 400 ms
+	}
+	is.Equal(len(b.heads), 1)
+}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -102,6 +102,9 @@
 	now := r.now()
 	r.balancer.ApplyHosts(now, addresses, local)
 	r.balancer.SetSlowServers(v.Slow)
+	if v.Limits != nil {
+		r.balancer.SetReportedLimits(now, v.Limits)
+	}
 	r.perform(r.engine.SetCrashes(now, v.Crashes))
 	if v.Topology != nil {
 		r.applyTopology(now, v.Topology)
@@ -117,6 +120,7 @@
 	for _, c := range r.balancer.TakeLimitChanges() {
 		r.log.Info("server changed its request limit", "server", c.Server.ID, "address", c.Server.Address, "born", c.Server.StartUnixMs,
 			"limit", c.Limit.String(), "previous", c.Previous.String(), "calls", c.Calls, "for_ms", c.For.Milliseconds())
+		observed.Limits = append(observed.Limits, news.NewLimitReport(c.Server, c.Limit, now.Sub(c.At)))
 	}
 	return observed
 }
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -58,6 +58,9 @@
 	Crashes map[uint64]crash.Verdict
 	// Slow holds the servers that were slow to answer calls.
 	Slow map[string]route.Slowness
+	// Limits holds the request limits that servers have named to any host; it is
+	// nil when they have not changed since the last view.
+	Limits map[route.ServerKey]route.LimitReport
 	// Age is how long ago the store was known to hold nothing newer. AgeKnown
 	// is false while that was never known.
 	Age      time.Duration
@@ -68,6 +71,7 @@
 type Observations struct {
 	Slow    []news.SlowReport
 	Leaving []news.LeavingReport
+	Limits  []news.LimitReport
 	Crashes []crash.Report
 }
 
@@ -174,7 +178,7 @@
 func (f *Feed) exchangeView(now time.Time) {
 	s := f.opts.State
 	topology, changed := s.Topology(now)
-	view := View{Hosts: s.Hosts(now), Crashes: s.CrashVerdicts(now), Slow: s.SlowServers(now)}
+	view := View{Hosts: s.Hosts(now), Crashes: s.CrashVerdicts(now), Slow: s.SlowServers(now), Limits: s.LimitReports(now)}
 	view.Age, view.AgeKnown = s.Age(now)
 	if changed {
 		view.Topology = topology
@@ -183,6 +187,7 @@
 	s.AddSlowReports(now, observed.Slow)
 	s.AddCrashReports(now, observed.Crashes)
 	s.AddLeavingReports(now, observed.Leaving)
+	s.AddLimitReports(now, observed.Limits)
 	f.pushUpdates(now)
 }
 
--- a/news/news.go
+++ b/news/news.go
@@ -72,6 +72,8 @@
 	CrashAck uint64 `cbor:"10,keyasint,omitempty"`
 	// Leaving reports servers that have announced that they are leaving.
 	Leaving []LeavingReport `cbor:"11,keyasint,omitempty"`
+	// Limits reports changes of the request limits that servers name.
+	Limits []LimitReport `cbor:"12,keyasint,omitempty"`
 }
 
 // Update is the answer to a Poll, or a pushed update if Nonce is 0.
@@ -95,6 +97,7 @@
 	CrashSeq uint64          `cbor:"10,keyasint,omitempty"`
 	CrashAck uint64          `cbor:"11,keyasint,omitempty"`
 	Leaving  []LeavingReport `cbor:"12,keyasint,omitempty"`
+	Limits   []LimitReport   `cbor:"13,keyasint,omitempty"`
 }
 
 // Member describes a host in messages between hosts.
--- a/news/state.go
+++ b/news/state.go
@@ -61,6 +61,9 @@
 	slow    map[string]slowSpan
 	// leaving holds when each server first announced that it is leaving.
 	leaving map[route.ServerKey]time.Time
+	// limits holds the request limits that servers have named.
+	limits            map[route.ServerKey]reportedLimit
+	haveLimitsChanged bool
 
 	topology *route.Topology
 	// dirty is set when topology is out of date.
@@ -105,7 +108,7 @@
 	s := &State{
 		opts: opts, startedAt: now, entries: make(map[string]*entry), latestStart: make(map[string]int64),
 		crashes: newCrashState(now, opts.Address), slow: make(map[string]slowSpan),
-		leaving: make(map[route.ServerKey]time.Time),
+		leaving: make(map[route.ServerKey]time.Time), limits: make(map[route.ServerKey]reportedLimit),
 	}
 	s.members = newMembership(now, opts)
 	return s
@@ -164,6 +167,7 @@
 	s.addCrashReports(now, fromUpstream, u.Crashes)
 	s.addSlowReports(now, u.Slow, true)
 	s.AddLeavingReports(now, u.Leaving)
+	s.AddLimitReports(now, u.Limits)
 }
 
 // saveConfirmedBefore saves until when the store was known to hold nothing
@@ -215,6 +219,7 @@
 		}
 	}
 	s.topology = t
+	s.markUnpublishedLimits(now, t)
 	return t, true
 }
 
@@ -224,6 +229,7 @@
 	s.addCrashReports(now, fromDownstream, p.Crashes)
 	s.AddSlowReports(now, p.Slow)
 	s.AddLeavingReports(now, p.Leaving)
+	s.AddLimitReports(now, p.Limits)
 	u := s.UpdateSince(now, p.Revision, p.CrashAck)
 	u.Nonce, u.CrashAck = p.Nonce, p.CrashSeq
 	u.SubtreeHash = hashMembers(s.members.downstream[p.From.Address].members)
@@ -236,7 +242,7 @@
 // UpdateSince returns the changes after a revision, and the crash reports after
 // a sequence number.
 func (s *State) UpdateSince(now time.Time, revision int64, crashAck uint64) *Update {
-	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowReports(now, false), Leaving: s.leavingReports(now)}
+	u := &Update{Revision: s.revision, AgeMs: -1, Slow: s.slowReports(now, false), Leaving: s.leavingReports(now), Limits: s.limitReports(now, revision == 0)}
 	s.setUpdateCrashes(now, u, crashAck)
 	if age, ok := s.Age(now); ok {
 		u.AgeMs = age.Milliseconds()
@@ -253,7 +259,7 @@
 // BuildPoll returns the next poll to send to a host; last is that host's last
 // answer, or nil.
 func (s *State) BuildPoll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
-	p := &Poll{From: s.members.self.Member, Nonce: nonce, Revision: s.revision, Slow: s.slowReports(now, true), Leaving: s.leavingReports(now), Push: push}
+	p := &Poll{From: s.members.self.Member, Nonce: nonce, Revision: s.revision, Slow: s.slowReports(now, true), Leaving: s.leavingReports(now), Limits: s.limitReports(now, false), Push: push}
 	s.setPollCrashes(now, p, last)
 	m := &s.members
 	m.expire(now)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -61,7 +61,9 @@
 	// least minHosts.
 	maxHosts   int
 	maxHostsAt time.Time
-	start      time.Time
+	// largestFleet is the same without minHosts.
+	largestFleet int
+	start        time.Time
 
 	slowSpans   map[string]SlowSpan
 	slowServers map[string]route.Slowness
@@ -72,6 +74,8 @@
 	pendingNotices []LeavingNotice
 	// pendingLimits are the changes of request limits not taken yet.
 	pendingLimits []LimitChange
+	// reportedLimits are the request limits that other hosts have reported.
+	reportedLimits map[route.ServerKey]route.LimitReport
 }
 
 // targetPool holds the backend servers of one service.
@@ -150,6 +154,7 @@
 		t = newTarget(now, pool, s)
 		t.local = s.DataCentre == b.opts.DataCentre
 		t.notice = prior
+		b.applyReportedLimit(now, t)
 		b.byKey[s.Key()], b.byID[s.ID] = t, t
 	}
 	pool.targets = append(pool.targets, t)
@@ -170,6 +175,17 @@
 	// Hedge is set for a second call beside one in progress: it avoids servers
 	// that seem stuck.
 	Hedge bool
+	// Urgent is set for requests of the highest priority.
+	Urgent bool
+	// Draw is a random number in [0, 1) that admits the call where this host may
+	// send only a fraction of a request (see heardLimit). Calls of one request use
+	// the same number, so that it gets all of its parts or none.
+	Draw float64
+	// drawn is the part of the range that the servers considered so far have used.
+	drawn float64
+	// limitReserve is the part of what is saved for limited servers that the call
+	// leaves to others.
+	limitReserve float64
 	// Regions are the regions in which the request may be served; empty means any.
 	Regions []string
 }
@@ -181,11 +197,12 @@
 	if pool == nil {
 		return nil, NoServer
 	}
-	t, reason := b.leastCost(now, pool, c, false)
+	c.limitReserve = b.limitReserve(now, pool, &c)
+	t, reason := b.leastCost(now, pool, &c, false)
 	if t != nil {
 		return t, Picked
 	}
-	t, lastResortReason := b.leastCost(now, pool, c, true)
+	t, lastResortReason := b.leastCost(now, pool, &c, true)
 	if t != nil {
 		return t, Picked
 	}
@@ -197,20 +214,34 @@
 
 // leastCost returns the cheapest server, either among those that stay or among
 // those of last resort, or nil and the reason.
-func (b *Balancer) leastCost(now time.Time, pool *targetPool, c ChooseInfo, lastResort bool) (*Target, Reason) {
+func (b *Balancer) leastCost(now time.Time, pool *targetPool, c *ChooseInfo, lastResort bool) (*Target, Reason) {
+	for {
+		t, reason := b.cheapest(now, pool, c, lastResort)
+		if t == nil || b.admit(now, t, c) {
+			return t, reason
+		}
+	}
+}
+
+// cheapest returns the cheapest server that may take the call, or nil and the
+// reason. A server that has just admitted the request by chance goes first.
+func (b *Balancer) cheapest(now time.Time, pool *targetPool, c *ChooseInfo, lastResort bool) (*Target, Reason) {
 	var best *Target
 	least, ties, reason := 0.0, 0, NoServer
 	at := b.at(now)
 	for _, t := range pool.targets {
-		if t.lastResort != lastResort || slices.Contains(c.Tried, t) || len(c.Regions) > 0 && !slices.Contains(c.Regions, b.opts.Regions[t.DataCentre]) {
+		if !b.mayChoose(t, c, lastResort) {
 			continue
 		}
-		if refusal := b.refusalReason(now, at, t, c.Hedge); refusal != Picked {
+		if refusal := b.refusalReason(now, at, t, c); refusal != Picked {
 			if reasonRank(refusal) > reasonRank(reason) {
 				reason = refusal
 			}
 			continue
 		}
+		if t.heardLimit.admittedAt.Equal(now) {
+			return t, Picked
+		}
 		cost := b.cost(now, t)
 		switch {
 		case best == nil || cost < least/equalCostRatio:
@@ -228,8 +259,16 @@
 	return best, Picked
 }
 
+// mayChoose reports whether the target belongs to those that a call may go to.
+func (b *Balancer) mayChoose(t *Target, c *ChooseInfo, lastResort bool) bool {
+	if t.lastResort != lastResort || slices.Contains(c.Tried, t) {
+		return false
+	}
+	return len(c.Regions) == 0 || slices.Contains(c.Regions, b.opts.Regions[t.DataCentre])
+}
+
 // refusalReason returns why a server may not get a call now, or Picked.
-func (b *Balancer) refusalReason(now time.Time, at time.Duration, t *Target, hedge bool) Reason {
+func (b *Balancer) refusalReason(now time.Time, at time.Duration, t *Target, c *ChooseInfo) Reason {
 	switch {
 	case t.isExcluded(now):
 		return AllOut
@@ -239,10 +278,12 @@
 		return AllDown
 	case t.isFull(now):
 		return AllBusy
-	case hedge && (t.hasOverdueCall(now) || b.mayMeetStaleConnections(now, t)):
+	case c.Hedge && (t.hasOverdueCall(now) || b.mayMeetStaleConnections(now, t)):
 		return AllBusy
 	case !t.allowColdCall(now, false):
 		return AllCold
+	case !b.mayAdmit(now, t, c):
+		return AllLimited
 	}
 	return Picked
 }
@@ -289,7 +330,7 @@
 	c := &Call{Target: t, Sent: now, ExpectedLatency: expectedLatency}
 	t.calls = append(t.calls, c)
 	t.allowColdCall(now, true)
-	t.heardLimit.calls++
+	b.countCall(now, t)
 	if first {
 		t.pool.retries.addFirst(now, b.opts.RetryWindow)
 	}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -32,6 +32,7 @@
 	AllDown        Reason = "all_down"        // no server can be reached
 	AllCold        Reason = "all_cold"        // the allowance of the cold servers is used up
 	AllBackingOff  Reason = "all_backing_off" // all servers have asked this host to back off
+	AllLimited     Reason = "all_limited"     // the request limits of the servers are used up
 	CrashSuspect   Reason = "crash_suspect"   // the request has crashed servers
 	StaleView      Reason = "stale_view"      // the view is no longer valid
 	UnknownLeaf    Reason = "unknown_leaf"
@@ -202,10 +203,12 @@
 		return 2
 	case AllBackingOff:
 		return 3
-	case AllCold:
+	case AllLimited:
 		return 4
-	case AllBusy:
+	case AllCold:
 		return 5
+	case AllBusy:
+		return 6
 	}
 	return 0
 }
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -29,8 +29,9 @@
 // ApplyHosts sets the live hosts: their addresses, and how many are in this
 // host's data centre.
 func (b *Balancer) ApplyHosts(now time.Time, addresses []string, local int) {
-	if len(addresses) >= b.maxHosts || now.Sub(b.maxHostsAt) > goneHostsWindow {
-		b.maxHosts, b.maxHostsAt = max(len(addresses), minHosts), now
+	if len(addresses) >= b.largestFleet || now.Sub(b.maxHostsAt) > goneHostsWindow {
+		b.largestFleet, b.maxHostsAt = len(addresses), now
+		b.maxHosts = max(len(addresses), minHosts)
 	}
 	if len(addresses) == len(b.hostHashes) && local == b.localHosts && b.sameHosts(addresses) {
 		return
--- a/route/route.go
+++ b/route/route.go
@@ -191,6 +191,19 @@
 	return "unknown"
 }
 
+// Less reports whether the limit allows fewer requests than another one. A server
+// whose limit is unknown may be unlimited.
+func (l RequestLimit) Less(other RequestLimit) bool {
+	return l.State == Limited && (other.State != Limited || l.Rate < other.Rate)
+}
+
+// LimitReport is a request limit that one of the hosts has heard.
+type LimitReport struct {
+	Limit RequestLimit
+	// At is a time at which the limit was in force.
+	At time.Time
+}
+
 // LimitedTo returns the limit of a server that names one.
 func LimitedTo(rate float64) RequestLimit { return RequestLimit{Limited, rate} }
 
