news: drop expired request limits without a reader

The limits of servers that are gone, and those that are over, were only dropped when the view of them was asked for. TestLimitReportsReachEveryHost failed on it.

--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -394,7 +394,7 @@
 	for _, x := range h.balancer.TakeLimitChanges() {
 		h.state.AddLimitReports(f.now, []news.LimitReport{news.NewLimitReport(x.Server, x.Limit, f.now.Sub(x.At))})
 	}
-	if limits := h.state.LimitReports(f.now); limits != nil {
+	if limits := h.state.LimitReports(); limits != nil {
 		h.balancer.SetReportedLimits(f.now, limits)
 	}
 	h.balancer.SetSlowServers(h.state.SlowServers(f.now))
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -178,7 +178,7 @@
 func (f *Feed) exchangeView(now time.Time) {
 	s := f.opts.State
 	topology, changed := s.Topology(now)
-	view := View{Hosts: s.Hosts(now), Crashes: s.CrashVerdicts(now), Slow: s.SlowServers(now), Limits: s.LimitReports(now)}
+	view := View{Hosts: s.Hosts(now), Crashes: s.CrashVerdicts(now), Slow: s.SlowServers(now), Limits: s.LimitReports()}
 	view.Age, view.AgeKnown = s.Age(now)
 	if changed {
 		view.Topology = topology
--- a/news/limits.go
+++ b/news/limits.go
@@ -84,8 +84,7 @@
 
 // LimitReports returns the known request limits, or nil if none has changed since
 // the last call.
-func (s *State) LimitReports(now time.Time) map[route.ServerKey]route.LimitReport {
-	s.expireLimits(now)
+func (s *State) LimitReports() map[route.ServerKey]route.LimitReport {
 	if !s.haveLimitsChanged {
 		return nil
 	}
--- a/news/limits_test.go
+++ b/news/limits_test.go
@@ -55,21 +55,23 @@
 		s.AddLimitReports(now, []LimitReport{NewLimitReport(key, limit, age)})
 	}
 	add(route.NoLimit, 0) // no limit was known
-	is.Equal(s.LimitReports(now), nil)
+	is.Equal(s.LimitReports(), nil)
 	add(route.LimitedTo(9), 200*time.Millisecond)
 	add(route.LimitedTo(20), 300*time.Millisecond)
-	is.Equal(s.LimitReports(now)[key].Limit, route.LimitedTo(9))
-	is.Equal(s.LimitReports(now), nil) // unchanged
+	is.Equal(s.LimitReports()[key].Limit, route.LimitedTo(9))
+	is.Equal(s.LimitReports(), nil) // unchanged
 	add(route.NoLimit, 100*time.Millisecond)
 	add(route.LimitedTo(9), 150*time.Millisecond)
-	is.Equal(s.LimitReports(now)[key].Limit, route.NoLimit)
+	is.Equal(s.LimitReports()[key].Limit, route.NoLimit)
 
 	add(route.LimitedTo(9), 0)
 	_, _ = s.Topology(now)
 	now = now.Add(10 * limitTTL)
-	is.Equal(s.LimitReports(now)[key].Limit, route.LimitedTo(9)) // the server is still there
+	_, _ = s.Topology(now)
+	is.Equal(s.LimitReports()[key].Limit, route.LimitedTo(9)) // the server is still there
 	s.ApplyWatch(now, now, []Item{{Key: "server/x", Revision: 2, Deleted: true}}, 2)
 	now = now.Add(reregisterWithin)
 	_, _ = s.Topology(now)
-	is.Equal(s.LimitReports(now.Add(limitTTL+time.Second)), map[route.ServerKey]route.LimitReport{})
+	_, _ = s.Topology(now.Add(limitTTL + time.Second))
+	is.Equal(s.LimitReports(), map[route.ServerKey]route.LimitReport{})
 }
--- a/news/state.go
+++ b/news/state.go
@@ -202,6 +202,7 @@
 		}
 	}
 	s.expireLeaving(now)
+	s.expireLimits(now)
 	if !s.dirty {
 		return s.topology, false
 	}
