--- a/soak/backend.go
+++ b/soak/backend.go
@@ -32,6 +32,8 @@
 	// announcesLeaving tells whether the answer announces that the server is leaving.
 	serverStart      int64
 	announcesLeaving bool
+	// limit is the request limit that the answer names, or 0.
+	limit float64
 }
 
 // requestLog records the requests that all backend servers executed or rejected.
@@ -73,6 +75,10 @@
 	// server rejects requests and asks for back-off.
 	leaving        bool
 	rejectingUntil time.Time
+	// limit is the number of requests per second that the server says it takes, since
+	// limitedSince; 0 means any number.
+	limit        float64
+	limitedSince time.Time
 }
 
 const (
@@ -151,13 +157,14 @@
 		b.startRejecting()
 	}
 	leaving, backoff := b.announced()
+	limitHeader, limit := b.limitHeader()
 	if fault == 0 || backoff > 0 {
 		b.log.addRejection(rejection{request: id, server: entry.ID, serverStart: entry.StartUnixMs, at: time.Now(), backoff: backoff})
-		return writeString(c, "HTTP/1.1 503 Busy\r\n"+b.headers.NotRun+": 1\r\n"+retryAfterHeader(backoff)+"Content-Length: 0\r\n\r\n")
+		return writeString(c, "HTTP/1.1 503 Busy\r\n"+b.headers.NotRun+": 1\r\n"+retryAfterHeader(backoff)+limitHeader+"Content-Length: 0\r\n\r\n")
 	}
 	x := execution{
 		request: id, service: entry.Service, server: entry.ID, method: req.Method, path: req.RequestURI, body: string(body), at: time.Now(),
-		serverStart: entry.StartUnixMs, announcesLeaving: leaving,
+		serverStart: entry.StartUnixMs, announcesLeaving: leaving, limit: limit,
 	}
 	sum := sha256.Sum256([]byte(id + entry.ID))
 	x.signature = hex.EncodeToString(sum[:6])
@@ -176,7 +183,7 @@
 	if leaving {
 		head += b.headers.Leaving + ": 1\r\n"
 	}
-	head += "\r\n"
+	head += limitHeader + "\r\n"
 	switch fault {
 	case 1: // the answer is lost
 		return false
--- a/soak/check.go
+++ b/soak/check.go
@@ -59,6 +59,7 @@
 	}
 	violations = append(violations, h.checkCrashes(byID)...)
 	violations = append(violations, h.checkNotices(byID)...)
+	violations = append(violations, h.checkLimits(byID)...)
 	for _, x := range h.world.hosts {
 		if x.unexpectedExits > 0 {
 			add("%s exited unexpectedly %d times", x.Name, x.unexpectedExits)
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -61,6 +61,7 @@
 		return
 	}
 	b.entry.StartUnixMs = time.Now().UnixMilli()
+	b.limit = 0
 	if !sameID {
 		b.idChanges++
 		b.entry.ID = fmt.Sprintf("%s.%d", strings.SplitN(b.entry.ID, ".", 2)[0], b.idChanges)
--- a/soak/host.go
+++ b/soak/host.go
@@ -15,6 +15,8 @@
 type disturbance struct {
 	from, to time.Time
 	planned  bool // SIGTERM or SIGHUP only
+	// stopped is set if the process did not run for a while.
+	stopped bool
 }
 
 // host is one process of the program under test, and its restarts.
@@ -85,10 +87,29 @@
 }
 
 func (h *host) recordDisturbance(d time.Duration, planned bool) {
+	h.addDisturbance(d, planned, false)
+}
+
+// recordStop records that the process does not run for a while.
+func (h *host) recordStop(d time.Duration, planned bool) { h.addDisturbance(d, planned, true) }
+
+func (h *host) addDisturbance(d time.Duration, planned, stopped bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	h.disturbances = append(h.disturbances, disturbance{now, now.Add(d), planned})
+	h.disturbances = append(h.disturbances, disturbance{now, now.Add(d), planned, stopped})
+}
+
+// lastStopEnd returns when the process last began to run again before a time.
+func (h *host) lastStopEnd(before time.Time) (end time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.disturbances {
+		if s.stopped && s.from.Before(before) && s.to.After(end) {
+			end = s.to
+		}
+	}
+	return end
 }
 
 // isUndisturbed reports whether no fault affected the host between two times.
@@ -106,7 +127,7 @@
 
 // pause suspends the process for a while.
 func (h *host) pause(d time.Duration) {
-	h.recordDisturbance(d, false)
+	h.recordStop(d, false)
 	h.signal(syscall.SIGSTOP)
 	time.Sleep(d)
 	h.signal(syscall.SIGCONT)
@@ -114,7 +135,7 @@
 
 // killAndRestart kills the process and starts it again after the down time.
 func (h *host) killAndRestart(down time.Duration) error {
-	h.recordDisturbance(down+time.Second, false)
+	h.recordStop(down+time.Second, false)
 	h.signal(syscall.SIGKILL)
 	<-h.exited
 	time.Sleep(down)
@@ -124,7 +145,7 @@
 // restart shuts the process down gracefully and starts it again. A process that
 // takes longer than stopGrace is killed.
 func (h *host) restart() error {
-	h.recordDisturbance(stopGrace+2*time.Second, true)
+	h.recordStop(stopGrace+2*time.Second, true)
 	h.signal(syscall.SIGTERM)
 	select {
 	case <-h.exited:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -163,7 +163,7 @@
 	w.server = &http.Server{Handler: w.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = w.server.Serve(l) }() // it returns when the run closes the server
 	for _, service := range append(w.shards(), plainServices...) {
-		for i := range cmp.Or(w.opts.ServersPerService, defaultServersPerService) {
+		for i := range w.serversPerService() {
 			if err := w.addBackend(service, i); err != nil {
 				return err
 			}
@@ -192,9 +192,14 @@
 		}
 	}
 	time.Sleep(warmUp)
+	w.startLimits()
 	return nil
 }
 
+func (w *world) serversPerService() int {
+	return cmp.Or(w.opts.ServersPerService, defaultServersPerService)
+}
+
 func dataCentreName(i int) string { return string(rune('a' + i%3)) }
 
 func (w *world) shards() []string {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 var seeds = []uint64{
 	1,
 	402,  // a host that shut down exited while a request waited for a silent server
+	9703, // servers got up to twice the requests that they had named as their limit; see docs/incidents/limit.md
 	2022, // two calls reached a service that the configuration no longer named; cause unknown
 }
 
