platform, news: read the era of the metadata store and log it

Answers of the store carry their position, era and revision; a change of the era, one that cannot be read, and a full read that is passed over are logged. No other decision uses it.

No peer passes on anything older, and no configuration is ignored for its version.

--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -361,12 +361,12 @@
 		}
 	}
 	if next == news.ReadRange {
-		h.state.ApplyRange(f.now, f.now, items, f.version, false)
+		h.state.ApplyRange(f.now, f.now, news.Answer{Items: items, Position: news.Position{Revision: f.version}}, false)
 		return
 	}
 	if len(items) > 0 || f.now.Sub(h.lastWatch) >= h.state.WatchWait() {
 		h.lastWatch = f.now
-		h.state.ApplyWatch(f.now, f.now, items, f.version)
+		h.state.ApplyWatch(f.now, f.now, news.Answer{Items: items, Position: news.Position{Revision: f.version}})
 	}
 }
 
--- a/news/entries.go
+++ b/news/entries.go
@@ -10,6 +10,7 @@
 // nothing if the State has a newer revision.
 func (s *State) applyFull(now time.Time, items []Item, revision int64) {
 	if s.revision > revision {
+		s.opts.Log("full read passed over", "revision", revision, "known_revision", s.revision)
 		return
 	}
 	present := make(map[string]bool, len(items))
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -17,13 +17,13 @@
 
 // Store reads the metadata store.
 type Store interface {
-	// Range returns every entry and a revision from which a watch misses no
+	// Range returns every entry and a position from which a watch misses no
 	// change. The result of a stale range may be seconds old.
-	Range(ctx context.Context, stale bool) ([]news.Item, int64, error)
-	// Watch returns the changes after a revision, and the revision that they
+	Range(ctx context.Context, stale bool) (news.Answer, error)
+	// Watch returns the changes after a revision, and the position that they
 	// lead up to. It waits up to the given time for a first change. The error
 	// is news.ErrHistoryGone when the store has compacted these changes.
-	Watch(ctx context.Context, after int64, wait time.Duration) ([]news.Item, int64, error)
+	Watch(ctx context.Context, after int64, wait time.Duration) (news.Answer, error)
 	// Reset closes the connections that are not in use. It is called after a
 	// failed read.
 	Reset()
@@ -212,11 +212,11 @@
 func (f *Feed) startRange(asked time.Time) {
 	stale := !f.needsFreshRange
 	f.runRead(rangeTimeout, func(ctx context.Context) {
-		items, revision, err := f.opts.Store.Range(ctx, stale)
+		answer, err := f.opts.Store.Range(ctx, stale)
 		f.post(func(now time.Time) {
 			if f.finishRead(now, "range", err) {
 				f.needsFreshRange = false
-				f.opts.State.ApplyRange(now, asked, items, revision, stale)
+				f.opts.State.ApplyRange(now, asked, answer, stale)
 			}
 		})
 	})
@@ -225,13 +225,13 @@
 func (f *Feed) startWatch(asked time.Time) {
 	wait, after := f.opts.State.WatchWait(), f.opts.State.Revision()
 	f.runRead(f.opts.State.WatchTimeout(), func(ctx context.Context) {
-		items, revision, err := f.opts.Store.Watch(ctx, after, wait)
+		answer, err := f.opts.Store.Watch(ctx, after, wait)
 		f.post(func(now time.Time) {
 			if !f.finishRead(now, "watch", err) {
 				return
 			}
-			f.opts.State.ApplyWatch(now, asked, items, revision)
-			if len(items) > 0 {
+			f.opts.State.ApplyWatch(now, asked, answer)
+			if len(answer.Items) > 0 {
 				f.nextRead = now.Add(settleDelay)
 			}
 		})
--- a/news/feed/feed_test.go
+++ b/news/feed/feed_test.go
@@ -19,14 +19,16 @@
 // emptyStore is a store without entries.
 type emptyStore struct{}
 
-func (emptyStore) Range(context.Context, bool) ([]news.Item, int64, error) { return nil, 1, nil }
+func (emptyStore) Range(context.Context, bool) (news.Answer, error) {
+	return news.Answer{Position: news.Position{Revision: 1}}, nil
+}
 
-func (emptyStore) Watch(ctx context.Context, after int64, wait time.Duration) ([]news.Item, int64, error) {
+func (emptyStore) Watch(ctx context.Context, after int64, wait time.Duration) (news.Answer, error) {
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return nil, after, ctx.Err()
+	return news.Answer{Position: news.Position{Revision: after}}, ctx.Err()
 }
 
 func (emptyStore) Reset() {}
--- a/news/leaving_test.go
+++ b/news/leaving_test.go
@@ -30,16 +30,16 @@
 		topology, _ := s.Topology(now)
 		return topology.Evacuated["b"]
 	}
-	s.ApplyRange(now, now, []Item{
+	s.ApplyRange(now, now, Answer{Items: []Item{
 		{Key: "server/x", Value: []byte("5"), Revision: 1}, {Key: "server/old", Value: []byte("-5"), Revision: 2},
 		{Key: "server/y", Value: []byte("5"), Revision: 3}, {Key: "out/b", Value: []byte("{}"), Revision: 4},
-	}, 4, false)
+	}, Position: Position{Revision: 4}}, false)
 	is.True(since("old").IsZero()) // it may have been draining for long
 	is.True(evacuatedSince().IsZero())
 	first := now
 
 	now = now.Add(700 * time.Millisecond)
-	s.ApplyWatch(now, now, []Item{{Key: "server/x", Value: []byte("-5"), Revision: 5}, {Key: "out/b", Revision: 6, Deleted: true}}, 6)
+	s.ApplyWatch(now, now, Answer{Items: []Item{{Key: "server/x", Value: []byte("-5"), Revision: 5}, {Key: "out/b", Revision: 6, Deleted: true}}, Position: Position{Revision: 6}})
 	is.Equal(since("x"), first)
 	second := now
 
@@ -58,7 +58,7 @@
 	is.Equal(since("x"), second) // another incarnation
 	is.Equal(since("z"), second)
 	is.Equal(evacuatedSince(), second)
-	s.ApplyWatch(now, now, []Item{{Key: "server/y", Value: []byte("-5"), Revision: 13}}, 13)
+	s.ApplyWatch(now, now, Answer{Items: []Item{{Key: "server/y", Value: []byte("-5"), Revision: 13}}, Position: Position{Revision: 13}})
 	is.True(since("y").IsZero()) // it had been removed before
 }
 
--- a/news/limits_test.go
+++ b/news/limits_test.go
@@ -49,7 +49,7 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := NewState(now, Options{Address: "10.0.0.1", Decoder: testDecoder{}, ApplyWithin: testApply, Heartbeat: time.Second})
-	s.ApplyRange(now, now, []Item{{Key: "server/x", Value: []byte("5"), Revision: 1}}, 1, false)
+	s.ApplyRange(now, now, Answer{Items: []Item{{Key: "server/x", Value: []byte("5"), Revision: 1}}, Position: Position{Revision: 1}}, false)
 	key := route.ServerKey{ID: "x", StartUnixMs: 5}
 	add := func(limit route.RequestLimit, age time.Duration) {
 		s.AddLimitReports(now, []LimitReport{NewLimitReport(key, limit, age)})
@@ -69,7 +69,7 @@
 	now = now.Add(10 * limitTTL)
 	_, _ = s.Topology(now)
 	is.Equal(s.LimitReports()[key].Limit, route.LimitedTo(9)) // the server is still there
-	s.ApplyWatch(now, now, []Item{{Key: "server/x", Revision: 2, Deleted: true}}, 2)
+	s.ApplyWatch(now, now, Answer{Items: []Item{{Key: "server/x", Revision: 2, Deleted: true}}, Position: Position{Revision: 2}})
 	now = now.Add(reregisterWithin)
 	_, _ = s.Topology(now)
 	_, _ = s.Topology(now.Add(limitTTL + time.Second))
--- a/news/news.go
+++ b/news/news.go
@@ -23,6 +23,25 @@
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
 }
 
+// Position is a place in the history of the metadata store. The store may be
+// restored from a copy some seconds old. Its era then rises, what was written
+// since the copy is gone, and revisions are given out again: they order the
+// changes of one era only.
+type Position struct {
+	// Era is 0 if it is not known.
+	Era      int64
+	Revision int64
+}
+
+// Answer is an answer of the metadata store to a read.
+type Answer struct {
+	Position
+	Items []Item
+	// InvalidEra is the era that the store named, in quotes, if it is not a
+	// number.
+	InvalidEra string
+}
+
 // Kind is the kind of object that an entry describes.
 type Kind int
 
--- a/news/state.go
+++ b/news/state.go
@@ -37,6 +37,8 @@
 
 	entries  map[string]*entry
 	revision int64
+	// era is the last one that the store named.
+	era int64
 	// compactRevision is the lowest revision after which every removal is
 	// known.
 	compactRevision int64
@@ -128,9 +130,10 @@
 
 // ApplyRange applies a full read of the store that was requested at asked. A
 // stale read does not confirm that the store holds nothing newer.
-func (s *State) ApplyRange(now, asked time.Time, items []Item, revision int64, stale bool) {
+func (s *State) ApplyRange(now, asked time.Time, a Answer, stale bool) {
+	s.observeEra(a)
 	s.saveConfirmedBefore()
-	s.applyFull(now, items, revision)
+	s.applyFull(now, a.Items, a.Revision)
 	if !stale {
 		s.confirm(now, asked)
 	}
@@ -138,10 +141,11 @@
 
 // ApplyWatch applies the answer to a watch that was requested at asked and is
 // processed at now.
-func (s *State) ApplyWatch(now, asked time.Time, items []Item, revision int64) {
+func (s *State) ApplyWatch(now, asked time.Time, a Answer) {
+	s.observeEra(a)
 	s.saveConfirmedBefore()
-	s.confirm(now, s.watchConfirmedUntil(now, asked, len(items) > 0))
-	s.applyDelta(now, items, revision)
+	s.confirm(now, s.watchConfirmedUntil(now, asked, len(a.Items) > 0))
+	s.applyDelta(now, a.Items, a.Revision)
 }
 
 // ApplyUpdate applies an update from another host. asked is when the poll that
@@ -170,6 +174,17 @@
 	s.AddLimitReports(now, u.Limits)
 }
 
+// observeEra logs a change of the store's era, and one that cannot be read.
+func (s *State) observeEra(a Answer) {
+	if a.InvalidEra != "" {
+		s.opts.Log("store named an invalid era", "value", a.InvalidEra, "era", s.era)
+	}
+	if a.Era != 0 && a.Era != s.era {
+		s.opts.Log("store era changed", "era", a.Era, "previous", s.era, "revision", a.Revision, "known_revision", s.revision)
+		s.era = a.Era
+	}
+}
+
 // saveConfirmedBefore saves until when the store was known to hold nothing
 // newer, before changes are applied.
 func (s *State) saveConfirmedBefore() {
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -202,7 +202,7 @@
 			h.pausedUntil = f.now.Add(time.Second)
 			return
 		}
-		h.state.ApplyRange(f.now, f.now, f.store.since(0), f.store.revision, false)
+		h.state.ApplyRange(f.now, f.now, Answer{Items: f.store.since(0), Position: Position{Revision: f.store.revision}}, false)
 	case ReadWatch:
 		f.store.reads++
 		h.asked, h.watchUntil, h.after = f.now, f.now.Add(h.state.WatchWait()), h.state.Revision()
@@ -221,7 +221,7 @@
 		h.pausedUntil = f.now.Add(time.Second)
 		return
 	}
-	h.state.ApplyWatch(f.now, h.asked, items, f.store.revision)
+	h.state.ApplyWatch(f.now, h.asked, Answer{Items: items, Position: Position{Revision: f.store.revision}})
 	if len(items) > 0 {
 		h.pausedUntil = f.now.Add(250 * time.Millisecond)
 	}
@@ -331,10 +331,10 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	s := NewState(now, Options{Address: "10.0.0.1", Decoder: testDecoder{}, ApplyWithin: testApply})
-	s.ApplyRange(now, now, []Item{
+	s.ApplyRange(now, now, Answer{Items: []Item{
 		{Key: "config", Value: []byte("7"), Revision: 3}, {Key: "server/x", Value: []byte("5"), Revision: 4},
 		{Key: "server/bad", Value: []byte(`"no"`), Revision: 5}, {Key: "out/b", Value: []byte("{}"), Revision: 6},
-	}, 6, false)
+	}, Position: Position{Revision: 6}}, false)
 	topology, changed := s.Topology(now)
 	is.True(changed)
 	is.Equal(topology.Config.Version, int64(7))
@@ -342,11 +342,11 @@
 	_, out := topology.Evacuated["b"]
 	is.True(out)
 
-	s.ApplyWatch(now, now, []Item{
+	s.ApplyWatch(now, now, Answer{Items: []Item{
 		{Key: "config", Value: []byte("6"), Revision: 7},   // older than the one in force
 		{Key: "server/x", Value: []byte("4"), Revision: 8}, // from an earlier incarnation
 		{Key: "out/b", Revision: 9, Deleted: true},
-	}, 9)
+	}, Position: Position{Revision: 9}})
 	topology, _ = s.Topology(now)
 	is.Equal(topology.Config.Version, int64(7))
 	is.Equal(len(topology.Servers), 0)
@@ -355,8 +355,8 @@
 
 	// A full read removes entries that it does not hold, but none that are
 	// newer than the read.
-	s.ApplyWatch(now, now, []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, 12)
-	s.ApplyRange(now, now, []Item{{Key: "config", Value: []byte("7"), Revision: 3}}, 20, false)
+	s.ApplyWatch(now, now, Answer{Items: []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, Position: Position{Revision: 12}})
+	s.ApplyRange(now, now, Answer{Items: []Item{{Key: "config", Value: []byte("7"), Revision: 3}}, Position: Position{Revision: 20}}, false)
 	topology, _ = s.Topology(now)
 	is.Equal(len(topology.Servers), 0)
 }
@@ -414,9 +414,9 @@
 			is := is.New(t)
 			asked := time.Unix(1000, 0)
 			s := NewState(asked, Options{Address: "10.0.0.1", Decoder: testDecoder{}, ApplyWithin: testApply})
-			s.ApplyRange(asked, asked.Add(-testApply), []Item{{Key: "config", Value: []byte("1"), Revision: 1}}, 1, false)
+			s.ApplyRange(asked, asked.Add(-testApply), Answer{Items: []Item{{Key: "config", Value: []byte("1"), Revision: 1}}, Position: Position{Revision: 1}}, false)
 			now := asked.Add(c.took)
-			s.ApplyWatch(now, asked, c.items, int64(1+len(c.items)))
+			s.ApplyWatch(now, asked, Answer{Items: c.items, Position: Position{Revision: int64(1 + len(c.items))}})
 			age, known := s.Age(now)
 			is.True(known)
 			is.Equal(age, c.age)
