--- /dev/null
+++ b/news/restore_test.go
@@ -0,0 +1,272 @@
+package news
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/figmast/figmast/route"
+)
+
+// settled is a time in which every host learns of a change or of a restore.
+const settled = testApply
+
+// serversAt returns the servers that a host may call, and those of them that are
+// draining.
+func (f *fleet) serversAt(address string) (all, draining []string) {
+	topology, _ := f.hosts[address].state.Topology(f.now)
+	for _, v := range topology.Servers {
+		all = append(all, v.ID)
+		if v.Draining {
+			draining = append(draining, v.ID)
+		}
+	}
+	return all, draining
+}
+
+// always steps the fleet and fails the test if a host does not meet the condition
+// at any time.
+func (f *fleet) always(d time.Duration, what string, ok func(*route.Topology) bool) {
+	f.t.Helper()
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.run(testStep)
+		for _, address := range f.order {
+			if topology, _ := f.hosts[address].state.Topology(f.now); topology != nil && !ok(topology) {
+				f.t.Fatalf("%v at %s: %s", f.now.Sub(time.Unix(1000, 0)), address, what)
+			}
+		}
+	}
+}
+
+// TestConfigurationAfterRestore guards against a fleet that does not apply, applies
+// late or reverts configurations once the store has been restored from a copy.
+func TestConfigurationAfterRestore(t *testing.T) {
+	for _, n := range []int{1, 7, 9, 85} {
+		for _, c := range []struct {
+			name string
+			do   func(f *fleet)
+		}{
+			{"the users' day", func(f *fleet) {
+				f.store.restore(1)
+				f.run(time.Second)
+				f.store.put("config", "3")
+				f.run(settled)
+			}},
+			{"rewritten late", func(f *fleet) {
+				f.store.restore(2)
+				f.run(20 * time.Second)
+				f.store.put("config", "3")
+				f.run(settled)
+			}},
+			{"written past the old revision at once", func(f *fleet) {
+				f.store.restore(2)
+				f.store.put("config", "3")
+				for i := range 5 {
+					f.store.put(fmt.Sprint("server/", i), "7")
+				}
+			}},
+			{"written to the old revision exactly", func(f *fleet) {
+				f.store.restore(2)
+				f.store.put("server/x", "5")
+				f.store.put("config", "3")
+			}},
+			{"a higher version first", func(f *fleet) {
+				f.store.restore(2)
+				f.store.put("config", "4")
+				f.store.put("config", "3")
+				f.store.put("config", "2")
+			}},
+			{"two restores in a row", func(f *fleet) {
+				f.store.restore(1)
+				f.run(300 * time.Millisecond)
+				f.store.put("config", "3")
+				f.run(100 * time.Millisecond)
+				f.store.restore(2)
+				f.store.put("config", "3")
+			}},
+			{"after an outage", func(f *fleet) {
+				f.store.isDown = func(string) bool { return true }
+				f.run(5 * time.Second)
+				f.store.restore(2)
+				f.store.isDown = func(string) bool { return false }
+			}},
+			{"seen by hosts that are no readers first", func(f *fleet) {
+				f.store.isDown = func(a string) bool { return slices.Index(f.order, a)%2 == 0 }
+				f.store.restore(2)
+				f.run(settled)
+				f.store.isDown = func(string) bool { return false }
+			}},
+			{"hosts restart", func(f *fleet) {
+				f.store.restore(2)
+				f.run(500 * time.Millisecond)
+				f.startHost(f.order[0])
+				f.startHost(f.order[len(f.order)-1])
+				f.run(time.Second)
+				f.store.put("config", "3")
+			}},
+		} {
+			t.Run(fmt.Sprintf("%d hosts, %s", n, c.name), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, n, uint64(n))
+				f.run(4 * time.Second)
+				f.store.put("config", "2")
+				f.run(settled)
+				f.store.put("config", "3")
+				f.run(settled)
+				f.wantVersion(3)
+				c.do(f)
+				f.run(settled)
+				f.store.put("config", "5")
+				f.run(settled)
+				f.wantVersion(5)
+				f.store.put("server/last", "9")
+				f.run(settled)
+				for _, address := range f.order {
+					if all, _ := f.serversAt(address); !slices.Contains(all, "last") {
+						t.Errorf("%s does not know the server that registered last", address)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestServersAfterRestore guards against calls to servers that have left or are
+// leaving, and against the loss of servers whose entries are missing for a moment.
+func TestServersAfterRestore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 9, 3)
+	f.store.put("server/stays", "5")
+	f.store.put("server/leaves", "5")
+	f.store.put("server/left", "5")
+	f.store.put("server/moved", "5")
+	f.run(4 * time.Second)
+	f.store.put("server/leaves", "-5")
+	f.store.remove("server/left")
+	f.store.put("server/moved", "8") // the next incarnation
+	f.store.put("server/new", "6")
+	f.store.put("server/ends", "6")
+	f.run(settled)
+	f.store.restore(5)
+	known := func(topology *route.Topology, id string) (v route.Server, ok bool) {
+		i := slices.IndexFunc(topology.Servers, func(v route.Server) bool { return v.ID == id })
+		if i < 0 {
+			return v, false
+		}
+		return topology.Servers[i], true
+	}
+	sound := func(topology *route.Topology) bool {
+		_, left := known(topology, "left")
+		leaves, _ := known(topology, "leaves")
+		moved, _ := known(topology, "moved")
+		_, stays := known(topology, "stays")
+		_, isNew := known(topology, "new")
+		return !left && (leaves.ID == "" || leaves.Draining) && (moved.ID == "" || moved.StartUnixMs == 8) && stays && isNew
+	}
+	f.always(1800*time.Millisecond, "a server that left, or an old entry, is in force, or a server was lost", sound)
+	f.store.put("server/leaves", "-5")
+	f.store.put("server/moved", "8")
+	f.store.put("server/new", "6")
+	f.store.remove("server/left")
+	f.always(2*settled, "a server that left, or an old entry, is in force, or a server was lost", sound)
+	for _, address := range f.order {
+		all, draining := f.serversAt(address)
+		is.Equal(all, []string{"leaves", "moved", "new", "stays"}) // one ended meanwhile and is not written again
+		is.Equal(draining, []string{"leaves"})
+	}
+	f.store.put("server/left", "9") // another incarnation
+	f.store.remove("server/stays")
+	f.run(settled)
+	for _, address := range f.order {
+		all, _ := f.serversAt(address)
+		is.Equal(all, []string{"leaves", "left", "moved", "new"})
+	}
+}
+
+// TestEvacuationsAfterRestore guards against work for a data centre whose evacuation
+// is missing from the copy, and against one that was taken back and is in it.
+func TestEvacuationsAfterRestore(t *testing.T) {
+	f := newFleet(t, 9, 4)
+	f.store.put("out/lifted", "{}")
+	f.run(4 * time.Second)
+	f.store.remove("out/lifted")
+	f.store.put("out/a", "{}")
+	f.run(settled)
+	f.store.restore(2)
+	out := func(topology *route.Topology) bool {
+		_, a := topology.Evacuated["a"]
+		_, lifted := topology.Evacuated["lifted"]
+		return a && !lifted
+	}
+	f.always(2*time.Second, "the evacuations are those of the copy", out)
+	f.store.remove("out/lifted")
+	f.store.put("out/a", "{}")
+	f.always(10*time.Second, "the evacuations are those of the copy", out)
+	f.store.remove("out/a")
+	f.store.put("out/lifted", "{}")
+	f.run(settled)
+	for _, address := range f.order {
+		topology, _ := f.hosts[address].state.Topology(f.now)
+		if _, a := topology.Evacuated["a"]; a || len(topology.Evacuated) != 1 {
+			t.Errorf("%s has evacuated %v", address, topology.Evacuated)
+		}
+	}
+}
+
+// TestRestoresBesideOtherFaults restores the store at random beside partitions,
+// outages and restarts. What is lost is written again within a second; every host
+// that reaches the store then has each change in time, and no host reverts.
+func TestRestoresBesideOtherFaults(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 7))
+			f := newFleet(t, 12, seed)
+			f.run(4 * time.Second)
+			version := int64(1)
+			for range 12 {
+				partitioned, withoutStore := make(map[string]bool), make(map[string]bool)
+				for _, address := range f.order {
+					partitioned[address] = random.IntN(4) == 0
+					withoutStore[address] = random.IntN(4) == 0
+					if random.IntN(6) == 0 {
+						f.startHost(address)
+					}
+				}
+				f.isCut = func(a, b string) bool { return partitioned[a] != partitioned[b] }
+				f.store.isDown = func(a string) bool { return withoutStore[a] }
+				f.run(time.Duration(random.IntN(1500)) * time.Millisecond)
+				f.store.put(fmt.Sprint("server/", version), "5")
+				if random.IntN(2) == 0 {
+					f.store.restore(min(1+random.IntN(2), len(f.store.history)-1))
+					f.store.put(fmt.Sprint("server/after-", version), "6")
+				}
+				f.run(time.Duration(random.IntN(1000)) * time.Millisecond)
+				f.store.put("config", strconv.FormatInt(version, 10))
+				for v := range version {
+					if id := fmt.Sprint("server/", v+1); f.store.items[id].Key == "" {
+						f.store.put(id, "5")
+					}
+				}
+				f.run(2 * time.Second)
+				version++
+				f.store.put("config", strconv.FormatInt(version, 10))
+				f.run(testApply)
+				f.wantVersion(version)
+			}
+			f.isCut = func(string, string) bool { return false }
+			f.store.isDown = func(string) bool { return false }
+			f.run(2 * testApply)
+			for _, address := range f.order {
+				if all, _ := f.serversAt(address); len(all) != len(f.store.all().Items)-1 {
+					t.Errorf("%s knows %d servers, want %d", address, len(all), len(f.store.all().Items)-1)
+				}
+			}
+		})
+	}
+}
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -49,22 +49,52 @@
 type testStore struct {
 	items    map[string]Item
 	revision int64
-	reads    int
-	isDown   func(host string) bool
+	era      int64
+	// history holds every write, oldest first.
+	history []Item
+	reads   int
+	isDown  func(host string) bool
 }
 
 func newTestStore() *testStore {
-	return &testStore{items: make(map[string]Item), isDown: func(string) bool { return false }}
+	return &testStore{items: make(map[string]Item), era: 1, isDown: func(string) bool { return false }}
 }
 
 func (s *testStore) put(key, value string) {
-	s.revision++
-	s.items[key] = Item{Key: key, Value: []byte(value), Revision: s.revision}
+	s.write(Item{Key: key, Value: []byte(value)})
 }
 
 func (s *testStore) remove(key string) {
+	s.write(Item{Key: key, Deleted: true})
+}
+
+func (s *testStore) write(it Item) {
 	s.revision++
-	s.items[key] = Item{Key: key, Revision: s.revision, Deleted: true}
+	it.Revision = s.revision
+	s.items[it.Key] = it
+	s.history = append(s.history, it)
+}
+
+// restore brings back a copy that lacks the last writes.
+func (s *testStore) restore(lost int) {
+	s.history = s.history[:len(s.history)-lost]
+	clear(s.items)
+	for _, it := range s.history {
+		s.items[it.Key] = it
+	}
+	s.revision = s.history[len(s.history)-1].Revision
+	s.era++
+}
+
+// all returns the answer to a full read.
+func (s *testStore) all() Answer {
+	a := Answer{Position: Position{s.era, s.revision}}
+	for _, it := range s.items {
+		if !it.Deleted {
+			a.Items = append(a.Items, it)
+		}
+	}
+	return a
 }
 
 func (s *testStore) since(after int64) []Item {
@@ -103,6 +133,8 @@
 	watchUntil  time.Time
 	after       int64
 	pausedUntil time.Time
+	// needsRange is set once the store does not have the revision asked for.
+	needsRange bool
 }
 
 const (
@@ -202,8 +234,14 @@
 			h.pausedUntil = f.now.Add(time.Second)
 			return
 		}
-		h.state.ApplyRange(f.now, f.now, Answer{Items: f.store.since(0), Position: Position{Revision: f.store.revision}}, false)
+		h.needsRange = false
+		h.state.ApplyRange(f.now, f.now, f.store.all(), false)
 	case ReadWatch:
+		if h.needsRange && !f.store.isDown(h.address) {
+			h.needsRange = false
+			h.state.ApplyRange(f.now, f.now, f.store.all(), false)
+			return
+		}
 		f.store.reads++
 		h.asked, h.watchUntil, h.after = f.now, f.now.Add(h.state.WatchWait()), h.state.Revision()
 	case ReadNothing:
@@ -213,6 +251,10 @@
 func (f *fleet) continueWatch(h *testHost) {
 	down := f.store.isDown(h.address)
 	items := f.store.since(h.after)
+	if !down && h.after > f.store.revision {
+		h.watchUntil, h.needsRange = time.Time{}, true
+		return
+	}
 	if f.now.Before(h.watchUntil) && (down || len(items) == 0) {
 		return
 	}
@@ -221,7 +263,7 @@
 		h.pausedUntil = f.now.Add(time.Second)
 		return
 	}
-	h.state.ApplyWatch(f.now, h.asked, Answer{Items: items, Position: Position{Revision: f.store.revision}})
+	h.state.ApplyWatch(f.now, h.asked, Answer{Items: items, Position: Position{f.store.era, f.store.revision}})
 	if len(items) > 0 {
 		h.pausedUntil = f.now.Add(250 * time.Millisecond)
 	}
