cmd/figmast-gateway: SIGHUP during the start does not end the host

A host that got SIGHUP in its first 70 ms ended: the signal was only handled once the host had started. TestHangupDuringStartDoesNotEndTheHost failed before: exit by the signal.

--- a/cmd/figmast-gateway/main.go
+++ b/cmd/figmast-gateway/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 
@@ -30,6 +32,7 @@
 }
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // until the host can reload its settings; it would end the process
 	var o options
 	arg.MustParse(&o)
 	s, err := settings(&o)
