--- a/forward/part.go
+++ b/forward/part.go
@@ -97,7 +97,7 @@
 func (p *part) choose(now time.Time, hedge bool) (*policy.Target, policy.Reason) {
 	return p.run.engine.opts.Balancer.Choose(now, policy.ChooseInfo{
 		Service: p.service.name, ExpectedLatency: p.run.stats.medianLatency(), Tried: p.tried, Hedge: hedge,
-		Urgent: p.run.req.Route.Priority == 0, Draw: p.run.drawAt(now),
+		Urgent: p.run.isUrgent(), Draw: p.run.drawAt(now),
 		Regions: p.run.req.Route.AllowedRegions,
 	})
 }
--- a/forward/queue.go
+++ b/forward/queue.go
@@ -97,7 +97,7 @@
 // wait too long.
 func (s *service) waitTooLong(now time.Time, p *part, ahead int) (string, bool) {
 	remaining := p.run.expiry().Sub(now)
-	if wait := s.engine.opts.Balancer.LimitWait(now, s.name, ahead+1); wait > 0 {
+	if wait := s.engine.opts.Balancer.LimitWait(now, s.name, ahead+1, p.run.isUrgent()); wait > 0 {
 		return string(policy.AllLimited), wait > p.run.limitPatience(now)
 	}
 	if ahead >= smallQueue {
@@ -249,7 +249,7 @@
 func (r *run) limitWait(now time.Time) (longest time.Duration) {
 	for i := range r.parts {
 		s := r.parts[i].service
-		longest = max(longest, r.engine.opts.Balancer.LimitWait(now, s.name, s.queueLen()+1))
+		longest = max(longest, r.engine.opts.Balancer.LimitWait(now, s.name, s.queueLen()+1, r.isUrgent()))
 	}
 	return longest
 }
--- a/forward/run.go
+++ b/forward/run.go
@@ -120,6 +120,9 @@
 	return policy.NoServer, true
 }
 
+// isUrgent reports whether the request has the highest priority.
+func (r *run) isUrgent() bool { return r.req.Route.Priority == 0 }
+
 // drawAt returns the random number for a decision at now.
 func (r *run) drawAt(now time.Time) float64 {
 	if now.Equal(r.startedAt) {
@@ -136,7 +139,7 @@
 	reachable := len(r.parts)
 	for i := range r.parts {
 		p := &r.parts[i]
-		if r.engine.opts.Balancer.LimitWait(now, p.service.name, 1) == 0 {
+		if r.engine.opts.Balancer.LimitWait(now, p.service.name, 1, r.isUrgent()) == 0 {
 			continue
 		}
 		if target, reason := p.choose(now, false); target != nil || reason != policy.AllLimited {
--- a/policy/requestlimit.go
+++ b/policy/requestlimit.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/figmast/figmast/route"
@@ -118,31 +119,36 @@
 // limitReserve returns the part of what is saved for limited servers that a call
 // leaves to others.
 func (b *Balancer) limitReserve(now time.Time, pool *targetPool, c *ChooseInfo) float64 {
-	limited, unlimited, alternative := false, false, false
-	at := b.at(now)
+	limited, unlimited := false, false
 	for _, t := range pool.targets {
-		switch {
-		case t.isExcluded(now):
-		case t.heardLimit.limit.State == route.Limited:
-			limited = true
-		default:
-			unlimited = true
-			alternative = alternative || b.mayChoose(t, c, t.lastResort) && b.refusalReason(now, at, t, c) == Picked
-		}
+		isLimited := t.heardLimit.limit.State == route.Limited
+		limited = limited || isLimited
+		unlimited = unlimited || !isLimited && !t.isExcluded(now)
 	}
 	switch {
 	case !limited:
 		return 0
-	case alternative:
+	case unlimited && b.hasAlternative(now, pool, c):
 		return alternativeReserve
-	case c.Hedge && !unlimited:
+	case unlimited:
+		return 0
+	case c.Hedge:
 		return hedgeReserve
-	case !c.Urgent && !unlimited:
+	case !c.Urgent:
 		return urgentReserve
 	}
 	return 0
 }
 
+// hasAlternative reports whether a server without a limit can take the call.
+func (b *Balancer) hasAlternative(now time.Time, pool *targetPool, c *ChooseInfo) bool {
+	at := b.at(now)
+	return slices.ContainsFunc(pool.targets, func(t *Target) bool {
+		isLimited := t.heardLimit.limit.State == route.Limited
+		return !isLimited && b.mayChoose(t, c, t.lastResort) && b.refusalReason(now, at, t, c) == Picked
+	})
+}
+
 // admit reports whether the call may go to the target chosen for it. Where it is
 // admitted by chance, what is saved is used up. Several such servers are asked in
 // turn, each with the part of the random number's range that the ones before it
@@ -255,28 +261,35 @@
 
 // LimitWait returns how long it takes until this host may send n more calls to
 // the service's servers, if each of them that can be reached has a request limit
-// and none may be called now; otherwise it returns 0.
-func (b *Balancer) LimitWait(now time.Time, service string, n int) time.Duration {
+// and none may be called now; otherwise it returns 0. Urgent is set for requests of
+// the highest priority.
+func (b *Balancer) LimitWait(now time.Time, service string, n int, urgent bool) time.Duration {
 	pool := b.pools[service]
 	if pool == nil {
 		return 0
 	}
+	reserve := urgentReserve
+	if urgent {
+		reserve = 0
+	}
 	rate, saved := 0.0, 0.0
 	at := b.at(now)
 	for _, t := range pool.targets {
-		switch h := &t.heardLimit; {
+		h := &t.heardLimit
+		switch {
 		case t.isExcluded(now) || t.isBackingOff(now) || t.health.isEjected(at):
+			continue
 		case h.limit.State != route.Limited:
 			return 0
-		default:
-			part := b.limitPart(now, h.limit)
-			h.update(now, part)
-			rate += part.rate
-			saved += min(h.saved, 1)
-			if part.capacity >= 1 && h.saved >= 1 {
-				return 0
-			}
 		}
+		part := b.limitPart(now, h.limit)
+		h.update(now, part)
+		usable := h.saved - reserve*max(part.capacity-1, 0)
+		if part.capacity >= 1 && usable >= 1 {
+			return 0
+		}
+		rate += part.rate
+		saved += min(max(usable, 0), 1)
 	}
 	if rate == 0 {
 		return 0
--- a/policy/requestlimit_test.go
+++ b/policy/requestlimit_test.go
@@ -188,5 +188,5 @@
 	is.True(hedges > 10 && others > 5 && urgent > 5)
 	_, reason := f.Choose(f.now, ChooseInfo{Service: "s", Urgent: true})
 	is.Equal(reason, AllLimited)
-	is.True(f.LimitWait(f.now, "s", 1) > 0)
+	is.True(f.LimitWait(f.now, "s", 1, true) > 0)
 }
