news: what a stale read still showed is dropped at once

The read that replaces a stale one at the start kept servers that it lacks for 2.2 s and evacuations for 5 s, as after a restore, so that a host which had just started called servers that had left for longer.

--- a/news/restore.go
+++ b/news/restore.go
@@ -70,10 +70,11 @@
 	return u.Era < s.era && (u.Era != 0 || s.hasSeenRestore)
 }
 
-// adopt replaces the entries by those of a later era. The store holds a copy that
-// is some seconds old and what was written since the restore; what was written
-// between the copy and the restore is written again, but maybe not yet. Until then
-// what this host knows of it stays in force.
+// adopt replaces the entries by those of a later era, or those of a stale read by
+// ones that are not stale. After a restore, the store holds a copy that is some
+// seconds old and what was written since the restore; what was written between the
+// two is written again, but maybe not yet. Until then what this host knows of it
+// stays in force.
 func (s *State) adopt(now time.Time, items []Item, at Position) {
 	previous := Position{s.era, s.revision}
 	s.era, s.eraSince, s.needsRange = at.Era, now, false
@@ -89,15 +90,17 @@
 			kept++
 		}
 	}
-	s.recoveredAt = now
+	if s.isVerified {
+		s.recoveredAt = now
+	}
 	for key, e := range s.entries {
 		if !present[key] && s.adoptMissing(now, e, at.Revision) {
 			kept++
 		}
 	}
 	s.revision, s.compactRevision = at.Revision, at.Revision
-	if previous.Era == 0 && at.Era != 0 {
-		return // the entries were those of a stale read
+	if !s.isVerified {
+		return // the entries were those of a stale read, not of another era
 	}
 	s.hasSeenRestore = true
 	s.opts.Log("store restored", "era", at.Era, "previous_era", previous.Era, "revision", at.Revision, "previous_revision", previous.Revision,
@@ -137,7 +140,7 @@
 	e.Revision = 0
 	s.put(now, Item{Key: e.Key, Revision: revision, Deleted: true})
 	removed := s.entries[e.Key]
-	if e.kind == KindEvacuation {
+	if e.kind == KindEvacuation && s.isVerified {
 		removed.evacuatedSince, removed.retainedUntil = e.evacuatedSince, now.Add(evacuationRewriteWithin)
 	}
 	return !removed.retainedUntil.IsZero()
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -345,7 +345,7 @@
 	s.members.hasJoined = true
 	is.Equal(s.NextRead(now), ReadStaleRange)
 	s.ApplyRange(now, now, Answer{Items: []Item{
-		{Key: "config", Value: []byte("3"), Revision: 5}, {Key: "server/x", Value: []byte("5"), Revision: 7},
+		{Key: "config", Value: []byte("3"), Revision: 5}, {Key: "server/x", Value: []byte("5"), Revision: 7}, {Key: "out/b", Value: []byte("{}"), Revision: 6},
 	}, Position: Position{2, 7}}, true)
 	topology, _ := s.Topology(now)
 	is.Equal(topology.Config.Version, int64(3))
@@ -353,9 +353,10 @@
 	is.Equal(s.UpdateSince(now, Position{}, 0).Items, nil)
 	is.Equal(s.NextRead(now), ReadRange)
 	s.ApplyRange(now, now, Answer{Items: []Item{{Key: "config", Value: []byte("4"), Revision: 6}}, Position: Position{2, 6}}, false)
-	topology, _ = s.Topology(now.Add(testApply))
+	topology, _ = s.Topology(now) // what is missing now has left, however short ago
 	is.Equal(topology.Config.Version, int64(4))
 	is.Equal(len(topology.Servers), 0)
+	is.Equal(len(topology.Evacuated), 0)
 	is.Equal(s.NextRead(now), ReadWatch)
 }
 
