soak: no SIGHUP in a process's first second

Until main runs the signal ends a process whatever it does, and the users excuse a process that ends within a second of a restart.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -65,8 +64,7 @@
 	case 2:
 		h.pause(d)
 	case 3:
-		h.recordDisturbance(0, true)
-		h.signal(syscall.SIGHUP)
+		h.reload()
 	}
 	return nil
 }
--- a/soak/host.go
+++ b/soak/host.go
@@ -28,6 +28,7 @@
 	mu              sync.Mutex
 	cmd             *exec.Cmd
 	exited          chan struct{}
+	startedAt       time.Time
 	disturbances    []disturbance
 	unexpectedExits int
 	exitExpected    bool
@@ -63,7 +64,7 @@
 		return err
 	}
 	exited := make(chan struct{})
-	h.cmd, h.exited, h.exitExpected = cmd, exited, false
+	h.cmd, h.exited, h.exitExpected, h.startedAt = cmd, exited, false, time.Now()
 	go func() {
 		_ = cmd.Wait()
 		h.mu.Lock()
@@ -86,6 +87,17 @@
 	_ = h.cmd.Process.Signal(s) // the process may just have ended
 }
 
+// reload sends SIGHUP, but not in the first second of a process: it ends one that
+// does not run its own code yet, and the users excuse that for a second.
+func (h *host) reload() {
+	h.mu.Lock()
+	wait := time.Until(h.startedAt.Add(time.Second))
+	h.mu.Unlock()
+	time.Sleep(wait)
+	h.recordDisturbance(0, true)
+	h.signal(syscall.SIGHUP)
+}
+
 func (h *host) recordDisturbance(d time.Duration, planned bool) {
 	h.addDisturbance(d, planned, false)
 }
