news, gateway: one server reference and one number parser for what servers announce

The reports of leaving servers and of request limits each held the same three fields and their conversion; the parsers of Retry-After and of the request limit each rejected negative numbers and NaN. Both use one now. The CBOR bytes of the reports are the same before and after, for a full and a nearly empty key.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -168,14 +168,24 @@
 // is about to leave.
 const leavingValue = "1"
 
+// maxLoggedValue bounds how much of an invalid header value is logged.
+const maxLoggedValue = 40
+
+// parseNonNegative parses a header value that is a number of at least 0, which may
+// be infinite.
+func parseNonNegative(value string) (number float64, ok bool) {
+	number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	return number, err == nil && number >= 0 // false for NaN too
+}
+
 // parseRetryAfter returns for how long a server that rejected a request wants no
 // more of them, and a description of an invalid header value, if there is one. Of
 // several values it returns the longest, and at most policy.MaxServerBackoff.
 func parseRetryAfter(h http.Header) (d time.Duration, fault string) {
 	for _, v := range h.Values("Retry-After") {
-		seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
-		if err != nil || !(seconds >= 0) { // the negation also rejects NaN
-			fault = fmt.Sprintf(", Retry-After %.40q is no number of seconds", v)
+		seconds, ok := parseNonNegative(v)
+		if !ok {
+			fault = fmt.Sprintf(", Retry-After %.*q is no number of seconds", maxLoggedValue, v)
 			continue
 		}
 		d = max(d, time.Duration(min(seconds, policy.MaxServerBackoff.Seconds())*float64(time.Second)))
@@ -183,9 +193,6 @@
 	return d, fault
 }
 
-// maxLoggedValue bounds how much of an invalid header value is logged.
-const maxLoggedValue = 40
-
 // parseRequestLimit returns the request limit that the values of the header name,
 // and the last invalid value in quotes, if there is one. Of several values the
 // lowest holds. If all values are invalid, the limit is unknown.
@@ -194,8 +201,8 @@
 		return route.NoLimit, ""
 	}
 	for _, v := range values {
-		rate, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
-		if err != nil || !(rate >= 0) || math.IsInf(rate, 0) { // the negation also rejects NaN
+		rate, ok := parseNonNegative(v)
+		if !ok || math.IsInf(rate, 0) {
 			invalid = fmt.Sprintf("%.*q", maxLoggedValue, v)
 			continue
 		}
--- a/news/leaving.go
+++ b/news/leaving.go
@@ -6,23 +6,30 @@
 	"github.com/figmast/figmast/route"
 )
 
-// LeavingReport reports that an incarnation of a server announced in an answer
-// that it is leaving.
-type LeavingReport struct {
+// ServerRef names an incarnation of a server in a report.
+type ServerRef struct {
 	ID          string `cbor:"1,keyasint"`
 	StartUnixMs int64  `cbor:"2,keyasint,omitempty"`
 	Address     string `cbor:"3,keyasint"`
+}
+
+func newServerRef(k route.ServerKey) ServerRef { return ServerRef{k.ID, k.StartUnixMs, k.Address} }
+
+func (r ServerRef) key() route.ServerKey {
+	return route.ServerKey{ID: r.ID, StartUnixMs: r.StartUnixMs, Address: r.Address}
+}
+
+// LeavingReport reports that an incarnation of a server announced in an answer
+// that it is leaving.
+type LeavingReport struct {
+	ServerRef
 	// AgeMs is how long ago the server first announced it.
 	AgeMs int64 `cbor:"4,keyasint"`
 }
 
 // NewLeavingReport returns a report of an announcement made age ago.
 func NewLeavingReport(k route.ServerKey, age time.Duration) LeavingReport {
-	return LeavingReport{ID: k.ID, StartUnixMs: k.StartUnixMs, Address: k.Address, AgeMs: age.Milliseconds()}
-}
-
-func (l LeavingReport) key() route.ServerKey {
-	return route.ServerKey{ID: l.ID, StartUnixMs: l.StartUnixMs, Address: l.Address}
+	return LeavingReport{ServerRef: newServerRef(k), AgeMs: age.Milliseconds()}
 }
 
 const (
--- a/news/limits.go
+++ b/news/limits.go
@@ -9,9 +9,7 @@
 // LimitReport reports the request limit that an incarnation of a server named in
 // an answer, or that it names none any more.
 type LimitReport struct {
-	ID          string `cbor:"1,keyasint"`
-	StartUnixMs int64  `cbor:"2,keyasint,omitempty"`
-	Address     string `cbor:"3,keyasint"`
+	ServerRef
 	// Rate is in requests per second from all hosts together; -1 means no limit.
 	Rate float64 `cbor:"4,keyasint"`
 	// AgeMs is how long ago the limit was in force.
@@ -23,17 +21,13 @@
 
 // NewLimitReport returns a report of a limit that was in force age ago.
 func NewLimitReport(k route.ServerKey, limit route.RequestLimit, age time.Duration) LimitReport {
-	r := LimitReport{ID: k.ID, StartUnixMs: k.StartUnixMs, Address: k.Address, Rate: rateUnlimited, AgeMs: max(age.Milliseconds(), 0)}
+	r := LimitReport{ServerRef: newServerRef(k), Rate: rateUnlimited, AgeMs: max(age.Milliseconds(), 0)}
 	if limit.State == route.Limited {
 		r.Rate = limit.Rate
 	}
 	return r
 }
 
-func (l LimitReport) key() route.ServerKey {
-	return route.ServerKey{ID: l.ID, StartUnixMs: l.StartUnixMs, Address: l.Address}
-}
-
 func (l LimitReport) limit() route.RequestLimit {
 	if l.Rate < 0 {
 		return route.NoLimit
