news, gateway: tests share the faults they inject and the check of a refusal

The random partitions, outages and restarts, and the request that is refused at once, stood twice. The draws and the assertions are the same.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -40,17 +40,26 @@
 	b := newBackend(t)
 	g := newTestGateway(t, b)
 	for range 3 {
-		began := time.Now()
-		resp, _ := g.send(t, "GET /p/alone"+get+"\r\n")
-		is.Equal(resp.StatusCode, 503)
-		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		is.NoErr(err)
+		after := g.sendRefused(t, "/p/alone")
 		is.True(after > 1 && after < 2.5)
-		is.True(time.Since(began) < 300*time.Millisecond) // less than the caller's timeout of 400 ms
 	}
 	is.Equal(len(b.heads), 1)
 }
 
+// sendRefused sends a request that is to be refused at once and returns its
+// Retry-After in seconds.
+func (g *testGateway) sendRefused(t *testing.T, target string) float64 {
+	t.Helper()
+	is := is.New(t)
+	began := time.Now()
+	resp, _ := g.send(t, "GET "+target+get+"\r\n")
+	is.Equal(resp.StatusCode, 503)
+	is.True(time.Since(began) < 300*time.Millisecond) // less than the caller's timeout of 400 ms
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	return after
+}
+
 // TestServerResponseHeaders covers how the headers and the status of a server's
 // response are interpreted.
 func TestServerResponseHeaders(t *testing.T) {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"net/http"
-	"strconv"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -66,13 +64,7 @@
 	is.Equal(resp.StatusCode, 200)
 	is.Equal(resp.Header.Get("X-Limit"), "")
 	for range 5 {
-		began := time.Now()
-		resp, _ := g.send(t, "GET /p/limit"+get+"\r\n")
-		is.Equal(resp.StatusCode, 503)
-		after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		is.NoErr(err)
-		is.True(after > 0.5)
-		is.True(time.Since(began) < 300*time.Millisecond) // less than the caller's timeout of 400 ms
+		is.True(g.sendRefused(t, "/p/limit") > 0.5)
 	}
 	is.Equal(len(b.heads), 1)
 }
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -233,16 +233,7 @@
 			f.run(4 * time.Second)
 			version := int64(1)
 			for range 12 {
-				partitioned, withoutStore := make(map[string]bool), make(map[string]bool)
-				for _, address := range f.order {
-					partitioned[address] = random.IntN(4) == 0
-					withoutStore[address] = random.IntN(4) == 0
-					if random.IntN(6) == 0 {
-						f.startHost(address)
-					}
-				}
-				f.isCut = func(a, b string) bool { return partitioned[a] != partitioned[b] }
-				f.store.isDown = func(a string) bool { return withoutStore[a] }
+				f.injectFaults(random)
 				f.run(time.Duration(random.IntN(1500)) * time.Millisecond)
 				f.store.put(fmt.Sprint("server/", version), "5")
 				if random.IntN(2) == 0 {
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -262,6 +262,21 @@
 	}
 }
 
+// injectFaults draws which hosts are on the other side of a partition, cannot reach
+// the store, or restart.
+func (f *fleet) injectFaults(random *rand.Rand) {
+	partitioned, withoutStore := make(map[string]bool), make(map[string]bool)
+	for _, address := range f.order {
+		partitioned[address] = random.IntN(4) == 0
+		withoutStore[address] = random.IntN(4) == 0
+		if random.IntN(6) == 0 {
+			f.startHost(address)
+		}
+	}
+	f.isCut = func(a, b string) bool { return partitioned[a] != partitioned[b] }
+	f.store.isDown = func(a string) bool { return withoutStore[a] }
+}
+
 // wantVersion fails the test unless every host that can reach the store has the
 // version in force.
 func (f *fleet) wantVersion(v int64) {
@@ -309,17 +324,7 @@
 			f.run(4 * time.Second)
 			version := int64(1)
 			for range 12 {
-				partitioned := make(map[string]bool)
-				withoutStore := make(map[string]bool)
-				for _, address := range f.order {
-					partitioned[address] = random.IntN(4) == 0
-					withoutStore[address] = random.IntN(4) == 0
-					if random.IntN(6) == 0 {
-						f.startHost(address)
-					}
-				}
-				f.isCut = func(a, b string) bool { return partitioned[a] != partitioned[b] }
-				f.store.isDown = func(a string) bool { return withoutStore[a] }
+				f.injectFaults(random)
 				f.run(time.Duration(random.IntN(3000)) * time.Millisecond)
 				// The bound holds only for hosts that have been able to reach
 				// the store for a while.
