--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -57,13 +57,11 @@
 
 	hostHashes []uint64
 	localHosts int
-	// maxHosts is the largest number of live hosts within goneHostsWindow, at
-	// least minHosts.
-	maxHosts   int
-	maxHostsAt time.Time
-	// largestFleet is the same without minHosts.
-	largestFleet int
-	start        time.Time
+	// largestFleet is the largest number of live hosts within goneHostsWindow,
+	// since largestFleetAt.
+	largestFleet   int
+	largestFleetAt time.Time
+	start          time.Time
 
 	slowSpans   map[string]SlowSpan
 	slowServers map[string]route.Slowness
@@ -93,7 +91,7 @@
 		pools: make(map[string]*targetPool), byKey: make(map[route.ServerKey]*Target), byID: make(map[string]*Target), slowSpans: make(map[string]SlowSpan),
 		notices: make(map[route.ServerKey]notice),
 	}
-	b.hostHashes, b.localHosts, b.maxHosts = []uint64{b.selfHash}, 1, minHosts
+	b.hostHashes, b.localHosts = []uint64{b.selfHash}, 1
 	return b
 }
 
@@ -163,7 +161,7 @@
 
 // retrySlack returns this host's share of the constant part of the retry
 // budget.
-func (b *Balancer) retrySlack() float64 { return b.opts.RetrySlack / float64(b.maxHosts) }
+func (b *Balancer) retrySlack() float64 { return b.opts.RetrySlack / float64(b.assumedHosts()) }
 
 // ChooseInfo describes the call that Choose selects a server for.
 type ChooseInfo struct {
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -29,9 +29,8 @@
 // ApplyHosts sets the live hosts: their addresses, and how many are in this
 // host's data centre.
 func (b *Balancer) ApplyHosts(now time.Time, addresses []string, local int) {
-	if len(addresses) >= b.largestFleet || now.Sub(b.maxHostsAt) > goneHostsWindow {
-		b.largestFleet, b.maxHostsAt = len(addresses), now
-		b.maxHosts = max(len(addresses), minHosts)
+	if len(addresses) >= b.largestFleet || now.Sub(b.largestFleetAt) > goneHostsWindow {
+		b.largestFleet, b.largestFleetAt = len(addresses), now
 	}
 	if len(addresses) == len(b.hostHashes) && local == b.localHosts && b.sameHosts(addresses) {
 		return
@@ -44,6 +43,10 @@
 	b.updateShares(now)
 }
 
+// assumedHosts returns how many hosts share fleet-wide limits: the largest number
+// within goneHostsWindow, at least minHosts.
+func (b *Balancer) assumedHosts() int { return max(b.largestFleet, minHosts) }
+
 func (b *Balancer) sameHosts(addresses []string) bool {
 	for i, a := range addresses {
 		if b.hostHashes[i] != xxhash.Sum64String(a) {
@@ -97,7 +100,7 @@
 	if total <= 0 {
 		return maxHostConnections, false
 	}
-	hosts := max(len(b.hostHashes), b.maxHosts)
+	hosts := max(len(b.hostHashes), b.assumedHosts())
 	perHost := int(usableConnectionShare * float64(total) / float64(hosts))
 	switch {
 	case perHost >= 2:
