--- a/forward/forward.go
+++ b/forward/forward.go
@@ -63,6 +63,9 @@
 	// if the address refuses connections.
 	Misdirected bool
 	Unreachable bool
+	// Withheld is set if a call was not sent for a reason on this host: its time
+	// had passed, or its server had been withdrawn or given up on.
+	Withheld bool
 	// Leaving is set if the server announced that it is leaving. Backoff is how
 	// long a server that refused the call wants no further calls from this
 	// host.
@@ -142,6 +145,8 @@
 	Cancel []Cancel
 	Finish []Finish
 	Check  []Check
+	// Reach holds changes of whether the host reaches backend servers, for its log.
+	Reach []policy.ReachChange
 }
 
 // Options configures an Engine.
@@ -168,7 +173,9 @@
 	services map[string]*service
 	routes   map[string]*routeStats
 	crashes  crashDetector
-	out      Actions
+	// reachCheckAt is when the host's reach is checked next; zero means never.
+	reachCheckAt time.Time
+	out          Actions
 }
 
 // NewEngine returns an engine without requests.
@@ -213,6 +220,7 @@
 
 // Tick runs everything that is due.
 func (e *Engine) Tick(now time.Time) Actions {
+	e.checkReach(now)
 	for {
 		r, due := e.timers.Due(now)
 		if !due {
@@ -226,6 +234,9 @@
 // NextTick returns when Tick is due next, and false if nothing is scheduled.
 func (e *Engine) NextTick() (time.Time, bool) {
 	_, at, ok := e.timers.First()
+	if !e.reachCheckAt.IsZero() && (!ok || e.reachCheckAt.Before(at)) {
+		return e.reachCheckAt, true
+	}
 	return at, ok
 }
 
@@ -279,6 +290,7 @@
 		e.statsFor(c.part.run.req.Route).observe(now, c, reply)
 	}
 	e.opts.Balancer.Done(now, c.policyCall, result)
+	e.observeReach(now, c, reply)
 	if reply.Leaving {
 		e.opts.Balancer.RecordLeaving(now, c.target)
 	}
--- a/forward/part.go
+++ b/forward/part.go
@@ -108,6 +108,9 @@
 	c := &call{id: e.lastCall, part: p, target: t, wanted: true, probe: p.run.suspected()}
 	c.policyCall = e.opts.Balancer.Begin(now, t, medianLatency, p.sent == 0)
 	e.calls[c.id] = c
+	if e.reachCheckAt.IsZero() {
+		e.scheduleReachCheck(now)
+	}
 	p.calls = append(p.calls, c)
 	p.tried = append(p.tried, t)
 	p.sent++
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,6 +36,8 @@
 	// limitNotices counts the responses that name a request limit, limitFaults
 	// those with an invalid one.
 	limitNotices, limitFaults *metrics.Counter
+	// silent is set while no backend server answers this host.
+	silent atomic.Bool
 }
 
 func newHostMetrics() *hostMetrics {
@@ -51,6 +54,12 @@
 	m.backoffNotices = m.set.NewCounter(`figmast_server_notices_total{notice="backoff"}`)
 	m.limitNotices = m.set.NewCounter(`figmast_server_notices_total{notice="limit"}`)
 	m.limitFaults = m.set.NewCounter(`figmast_server_notices_total{notice="invalid_limit"}`)
+	m.set.NewGauge("figmast_backends_silent", func() float64 {
+		if m.silent.Load() {
+			return 1
+		}
+		return 0
+	})
 	return m
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -124,7 +124,7 @@
 	case http1.Done:
 		return r.replyFromResponse(a)
 	case http1.NotSent:
-		return forward.Reply{Outcome: forward.NotSent, Unreachable: http1.IsConnRefused(err), Detail: formatDetail("not sent", err)}
+		return forward.Reply{Outcome: forward.NotSent, Unreachable: http1.IsConnRefused(err), Withheld: http1.IsWithheld(err), Detail: formatDetail("not sent", err)}
 	case http1.TimedOut:
 		return forward.Reply{Outcome: forward.TimedOut, Detail: "timed out"}
 	case http1.Cancelled:
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -201,6 +201,9 @@
 			delete(r.requests, f.Run)
 		}
 	}
+	for _, c := range a.Reach {
+		r.recordReach(c)
+	}
 	for _, c := range a.Check {
 		r.goroutines.Add(1)
 		go r.checkServer(c)
@@ -213,6 +216,18 @@
 	}
 }
 
+// recordReach logs that no backend server answers this host, or that one does
+// again.
+func (r *runner) recordReach(c policy.ReachChange) {
+	if !c.Silent {
+		r.metrics.silent.Store(false)
+		r.log.Info("backend servers answer again", "silent_ms", r.now().Sub(c.HeardAt).Milliseconds())
+		return
+	}
+	r.metrics.silent.Store(true)
+	r.log.Warn("no backend server answers", "silent_ms", r.now().Sub(c.HeardAt).Milliseconds(), "unreached", c.Unreached)
+}
+
 // call makes one call to a backend server and passes its result to the engine.
 func (r *runner) call(ctx context.Context, s forward.Send, q *callerRequest) {
 	defer r.goroutines.Done()
--- a/http1/call.go
+++ b/http1/call.go
@@ -50,6 +50,12 @@
 	errGuardRefused   = errors.New("the server took no more requests when this one was to be sent")
 )
 
+// IsWithheld reports whether a call was not sent for a reason on this host: its
+// time had passed, or it was cancelled or no longer allowed.
+func IsWithheld(err error) bool {
+	return errors.Is(err, errDeadlinePassed) || errors.Is(err, errGuardRefused) || errors.Is(err, context.Canceled)
+}
+
 // Do makes the call once, without retries.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, Outcome, error) {
 	maxIdle := defaultIdleTimeout
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -72,6 +72,9 @@
 	pendingNotices []LeavingNotice
 	// pendingLimits are the changes of request limits not taken yet.
 	pendingLimits []LimitChange
+	// inFlight counts this host's calls to all servers.
+	inFlight int
+	reach    reach
 	// reportedLimits are the request limits that other hosts have reported.
 	reportedLimits map[route.ServerKey]route.LimitReport
 }
@@ -89,7 +92,7 @@
 	b := &Balancer{
 		opts: opts, selfHash: xxhash.Sum64String(opts.Address), start: now,
 		pools: make(map[string]*targetPool), byKey: make(map[route.ServerKey]*Target), byID: make(map[string]*Target), slowSpans: make(map[string]SlowSpan),
-		notices: make(map[route.ServerKey]notice),
+		notices: make(map[route.ServerKey]notice), reach: newReach(now),
 	}
 	b.hostHashes, b.localHosts = []uint64{b.selfHash}, 1
 	return b
@@ -327,6 +330,7 @@
 func (b *Balancer) Begin(now time.Time, t *Target, expectedLatency time.Duration, first bool) *Call {
 	c := &Call{Target: t, Sent: now, ExpectedLatency: expectedLatency}
 	t.calls = append(t.calls, c)
+	b.inFlight++
 	t.allowColdCall(now, true)
 	b.countCall(now, t)
 	if first {
@@ -363,6 +367,7 @@
 			t.calls[i] = t.calls[len(t.calls)-1]
 			t.calls[len(t.calls)-1] = nil
 			t.calls = t.calls[:len(t.calls)-1]
+			b.inFlight--
 			break
 		}
 	}
