--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -83,13 +83,6 @@
 	queue   []func()
 }
 
-type isolationCall struct {
-	host   *isolationHost
-	send   Send
-	nonce  int
-	broken func()
-}
-
 type isolationHost struct {
 	engine   *Engine
 	balancer *policy.Balancer
@@ -98,7 +91,7 @@
 	old      bool
 	pooled   map[string]bool
 	requests map[RunID]*isolationRequest
-	calls    map[CallID]*isolationCall
+	calls    map[CallID]bool
 }
 
 type isolationRequest struct {
@@ -132,7 +125,6 @@
 	unanswered    int
 	late          int
 	arrivals      int
-	extra         int
 	dials         int
 }
 
@@ -164,7 +156,7 @@
 	cut := int(shape.share*float64(shape.hosts) + 0.5)
 	for i, address := range addresses {
 		dc := string(rune('a' + i%3))
-		h := &isolationHost{address: address, pooled: make(map[string]bool), requests: make(map[RunID]*isolationRequest), calls: make(map[CallID]*isolationCall)}
+		h := &isolationHost{address: address, pooled: make(map[string]bool), requests: make(map[RunID]*isolationRequest), calls: make(map[CallID]bool)}
 		h.isolated = i < cut || shape.wholeDataCentre && dc == "a"
 		h.old = shape.oldHosts && !h.isolated && i%2 == 0
 		h.balancer = policy.NewBalancer(f.now, policy.BalancerOptions{
@@ -206,7 +198,7 @@
 }
 
 func (f *isolationFleet) endCall(h *isolationHost, id CallID, r Reply) {
-	if h.calls[id] == nil {
+	if !h.calls[id] {
 		return
 	}
 	delete(h.calls, id)
@@ -225,7 +217,7 @@
 }
 
 func (f *isolationFleet) startCall(h *isolationHost, x Send) {
-	h.calls[x.Call] = &isolationCall{host: h, send: x}
+	h.calls[x.Call] = true
 	number := h.requests[x.Run].number
 	end := func(d time.Duration, r Reply) { f.after(d, func() { f.endCall(h, x.Call, r) }) }
 	pooled := h.pooled[x.Target.ID]
@@ -255,7 +247,7 @@
 	s := f.servers[x.Target.ID]
 	f.arrivals++
 	s.queue = append(s.queue, func() {
-		if h.calls[x.Call] == nil && !x.NonIdempotent {
+		if !h.calls[x.Call] && !x.NonIdempotent {
 			return // its connection was closed while it was in the queue
 		}
 		s.running++
