forward, policy, handover, gateway: a host that reaches no server hands its requests over

Cause: a host takes the failure of its own path for the failure of every server, and has no other way to a server than its own connections. The class: a finding of one host about its path taken for a fact about the others.

Now a host that no server answers probes three; if none can be reached it is isolated and hands its callers' requests over to hosts that reach servers (docs/design/handover.md). What it finds of the servers meanwhile is not told to the others.

Two test harnesses carry out the new probes; their checks are unchanged.

--- a/forward/attribution.go
+++ b/forward/attribution.go
@@ -145,7 +145,7 @@
 	list := c.unanswered[t]
 	delete(c.unanswered, t)
 	delete(c.lastCheck, t)
-	if t.IsLeaving() {
+	if t.IsLeaving() || e.isolationProven {
 		return
 	}
 	broken := false
@@ -186,6 +186,20 @@
 	}
 }
 
+// forget drops what a host that turns out to be isolated has found since the last
+// answer of a server: connections that broke because of its own path look like
+// those of servers that have ended.
+func (c *crashDetector) forget(since time.Time) {
+	for t, list := range c.unanswered {
+		if list = slices.DeleteFunc(list, func(u unansweredCall) bool { return u.at.After(since) }); len(list) == 0 {
+			delete(c.unanswered, t)
+		} else {
+			c.unanswered[t] = list
+		}
+	}
+	c.pending = slices.DeleteFunc(c.pending, func(f finding) bool { return f.at.After(since) })
+}
+
 // prune drops calls and checks that are too old to matter.
 func (c *crashDetector) prune(e *Engine, now time.Time) {
 	for t, list := range c.unanswered {
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -74,7 +74,7 @@
 		r.parts[i].linger = 0
 	}
 	f := Finish{Verdict: Refused, Reason: fmt.Sprintf("the request has crashed %d servers", v.Crashed), RetryAfter: v.RefusedFor}
-	if r.mayHaveRun > 0 {
+	if r.mayRunAnywhere() {
 		f.Verdict = Failed
 	}
 	r.finish(now, f)
@@ -97,6 +97,8 @@
 			return true
 		case !f.part.run.done && now.Sub(f.at) < findingDelay:
 			return false
+		case !f.server.Gone() && e.isPathInDoubt(now):
+			return false
 		}
 		c.report(now, f)
 		return true
--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -57,6 +57,9 @@
 	for _, f := range a.Finish {
 		h.finished[f.Run] = f
 	}
+	for range a.Probe {
+		h.apply(h.engine.HandleProbe(h.now, true))
+	}
 }
 
 func (h *harness) start(rt *route.Route) RunID {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
@@ -32,6 +33,11 @@
 	// Fingerprint identifies the content of the request: every attempt of the
 	// same request has the same fingerprint.
 	Fingerprint uint64
+	// HandedOver is set if another host has handed over the request; it is not
+	// handed over again. PriorCalls is how many servers may have run each part of it
+	// before.
+	HandedOver bool
+	PriorCalls int
 }
 
 // Outcome is how a call to a backend server ended.
@@ -119,14 +125,20 @@
 	// passed.
 	Failed
 	Expired
+	// Relayed returns the final answer of the host that the request was handed over
+	// to.
+	Relayed
 )
 
 // Finish is the action of ending a request.
 type Finish struct {
 	Run     RunID
 	Verdict Verdict
-	// Answer is the backend server's response if it is passed through.
+	// Answer is the backend server's response if it is passed through, or the other
+	// host's if it is relayed.
 	Answer any
+	// Handover is the result for the host that has handed over the request.
+	Handover handover.Result
 	// Signatures hold the signature of each merged part, Missing the number of
 	// parts that are missing, Body the merged records.
 	Signatures []string
@@ -145,6 +157,11 @@
 	Cancel []Cancel
 	Finish []Finish
 	Check  []Check
+	Probe  []Probe
+	// Handover holds the requests to hand over, Withdraw those to take back from
+	// the host that they were handed over to.
+	Handover []Handover
+	Withdraw []RunID
 	// Reach holds changes of whether the host reaches backend servers, for its log.
 	Reach []policy.ReachChange
 }
@@ -153,6 +170,8 @@
 type Options struct {
 	Balancer *policy.Balancer
 	Rand     *rand.Rand
+	// Peers holds the hosts that requests may be handed over to; with nil, none are.
+	Peers *handover.Peers
 	// Heartbeat is the interval at which backend servers renew their entries in
 	// the metadata store; 0 means 1.2 s.
 	Heartbeat time.Duration
@@ -175,7 +194,17 @@
 	crashes  crashDetector
 	// reachCheckAt is when the host's reach is checked next; zero means never.
 	reachCheckAt time.Time
-	out          Actions
+	// isolatedAt is when the host was last found to be isolated, silentSince when a
+	// server had last answered then. isolationProven is set once another host has
+	// served a request meanwhile.
+	isolatedAt      time.Time
+	silentSince     time.Time
+	isolationProven bool
+	// direct counts the requests that count towards the direct limit of a host that
+	// recovers from an isolation, guests the requests from other hosts.
+	direct int
+	guests int
+	out    Actions
 }
 
 // NewEngine returns an engine without requests.
@@ -247,7 +276,7 @@
 		switch {
 		case r.sufficient(r.answeredParts):
 			r.answer(now)
-		case r.mayHaveRun == 0:
+		case !r.mayRunAnywhere():
 			r.refuse(now, stoppingReason, stoppingRetryAfter)
 		default:
 			r.finish(now, Finish{Verdict: Failed, Reason: stoppingReason})
--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -412,6 +412,9 @@
 	for _, x := range a.Check {
 		f.events.add(f.now.Add(x.After+2*fleetLatency), func() { f.check(h, x.Target) })
 	}
+	for _, x := range a.Probe {
+		f.events.add(f.now.Add(2*fleetLatency), func() { f.probe(h, x.Target) })
+	}
 	for _, x := range a.Finish {
 		f.finish(h, x)
 	}
@@ -448,6 +451,16 @@
 	f.apply(h, h.engine.HandleCheck(f.now, t, !s.up && !f.shape.silent))
 }
 
+// probe simulates trying to open a connection to a server.
+func (f *hostFleet) probe(h *fleetHost, t *policy.Target) {
+	up := f.byAddress[t.Address].up
+	delay := time.Duration(0)
+	if !up && f.shape.silent {
+		delay = fleetDialTimeout
+	}
+	f.events.add(f.now.Add(delay), func() { f.apply(h, h.engine.HandleProbe(f.now, up)) })
+}
+
 func (f *hostFleet) cancelCall(h *fleetHost, id CallID) {
 	for _, s := range f.servers {
 		for _, c := range s.calls {
--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
@@ -87,11 +88,17 @@
 	engine   *Engine
 	balancer *policy.Balancer
 	address  string
-	isolated bool
-	old      bool
-	pooled   map[string]bool
-	requests map[RunID]*isolationRequest
-	calls    map[CallID]bool
+	peers    *handover.Peers
+	// transfers takes back requests that are handed over.
+	transfers  map[RunID]func()
+	dataCentre string
+	isolated   bool
+	old        bool
+	pooled     map[string]bool
+	requests   map[RunID]*isolationRequest
+	calls      map[CallID]bool
+	// dialing holds the calls whose connection is being opened.
+	dialing map[CallID]bool
 }
 
 type isolationRequest struct {
@@ -125,6 +132,7 @@
 	unanswered    int
 	late          int
 	arrivals      int
+	handovers     int
 	dials         int
 }
 
@@ -156,17 +164,24 @@
 	cut := int(shape.share*float64(shape.hosts) + 0.5)
 	for i, address := range addresses {
 		dc := string(rune('a' + i%3))
-		h := &isolationHost{address: address, pooled: make(map[string]bool), requests: make(map[RunID]*isolationRequest), calls: make(map[CallID]bool)}
+		h := &isolationHost{address: address, dataCentre: dc, transfers: make(map[RunID]func()), pooled: make(map[string]bool), requests: make(map[RunID]*isolationRequest), calls: make(map[CallID]bool), dialing: make(map[CallID]bool)}
 		h.isolated = i < cut || shape.wholeDataCentre && dc == "a"
 		h.old = shape.oldHosts && !h.isolated && i%2 == 0
 		h.balancer = policy.NewBalancer(f.now, policy.BalancerOptions{
-			Address: address, DataCentre: dc, Regions: map[string]string{"a": "r", "b": "r", "c": "r"}, Rand: f.random, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
+			Address: address, DataCentre: dc, Regions: isolationRegions, Rand: f.random, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
 		})
 		h.balancer.Apply(f.now, topology)
 		h.balancer.ApplyHosts(f.now, addresses, (shape.hosts+2)/3)
 		f.setUpHost(h)
 		f.hosts = append(f.hosts, h)
 	}
+	var hosts []handover.Host
+	for _, h := range f.hosts {
+		hosts = append(hosts, handover.Host{Address: h.address, DataCentre: h.dataCentre})
+	}
+	for _, h := range f.hosts {
+		h.engine.SetHosts(hosts)
+	}
 	return f
 }
 
@@ -186,7 +201,13 @@
 		}
 	}
 	for _, c := range a.Cancel {
-		f.after(c.After, func() { f.endCall(h, c.Call, Reply{Outcome: Cancelled}) })
+		f.after(c.After, func() {
+			if h.dialing[c.Call] {
+				f.endCall(h, c.Call, Reply{Outcome: NotSent, Withheld: true})
+				return
+			}
+			f.endCall(h, c.Call, Reply{Outcome: Cancelled})
+		})
 	}
 	for _, x := range a.Send {
 		f.startCall(h, x)
@@ -202,6 +223,7 @@
 		return
 	}
 	delete(h.calls, id)
+	delete(h.dialing, id)
 	if r.Outcome != Answered {
 		h.pooled[serverOf(h, id)] = false
 	}
@@ -239,6 +261,7 @@
 	case pooled:
 		end(min(isolationBreak, x.Deadline.Sub(f.now)), Reply{Outcome: Broken, Detail: "broken: timeout"})
 	default:
+		h.dialing[x.Call] = true
 		end(isolationDial, Reply{Outcome: NotSent, Detail: "not sent: timeout"})
 	}
 }
@@ -307,6 +330,9 @@
 		if f.now.After(deadline) {
 			f.late++
 		}
+		if x.Verdict == Relayed {
+			x = x.Answer.(Finish)
+		}
 		if x.Verdict == Refused {
 			f.refused = append(f.refused, number)
 		}
@@ -317,10 +343,11 @@
 	f.start(h, q, Request{ID: fmt.Sprint(number), Route: f.rt, Deadline: deadline, Fingerprint: uint64(number)})
 }
 
-func (f *isolationFleet) start(h *isolationHost, q *isolationRequest, req Request) {
+func (f *isolationFleet) start(h *isolationHost, q *isolationRequest, req Request) RunID {
 	id, a := h.engine.Start(f.now, req)
 	h.requests[id] = q
 	f.apply(h, a)
+	return id
 }
 
 func (f *isolationFleet) count(isolated, other *int, h *isolationHost) {
@@ -378,7 +405,7 @@
 			f.play()
 			isolated := float64(f.isolatedServed) / float64(f.isolatedTries)
 			other := float64(f.otherServed) / float64(max(f.otherTries, 1))
-			t.Logf("isolated hosts served %d of %d, the others %d of %d; %d calls, %d connections", f.isolatedServed, f.isolatedTries, f.otherServed, f.otherTries, f.arrivals, f.dials)
+			t.Logf("isolated hosts served %d of %d, the others %d of %d; %d calls, %d connections, %d handovers", f.isolatedServed, f.isolatedTries, f.otherServed, f.otherTries, f.arrivals, f.dials, f.handovers)
 			if f.isolatedTries == 0 || isolated < leastOfOthers*other || other < leastServed {
 				t.Errorf("isolated hosts served %.3f of the first tries, the others %.3f", isolated, other)
 			}
@@ -417,7 +444,70 @@
 }
 
 func (f *isolationFleet) setUpHost(h *isolationHost) {
-	h.engine = NewEngine(Options{Balancer: h.balancer, Rand: f.random, CPUCapacity: 1})
+	h.peers = handover.NewPeers(handover.Options{Address: h.address, DataCentre: h.dataCentre, Regions: isolationRegions, Rand: f.random})
+	h.engine = NewEngine(Options{Balancer: h.balancer, Rand: f.random, CPUCapacity: 1, Peers: h.peers})
+}
+
+// applyIsolation carries out the actions of a host that reaches no server.
+func (f *isolationFleet) applyIsolation(h *isolationHost, a Actions) {
+	for range a.Probe {
+		delay, reached := isolationHostDelay, !f.isCut(h)
+		if !reached && f.shape.fault == linkSilent {
+			delay = isolationDial
+		}
+		f.after(delay, func() { f.apply(h, h.engine.HandleProbe(f.now, reached)) })
+	}
+	for _, x := range a.Handover {
+		f.handOver(h, x)
+	}
+	for _, id := range a.Withdraw {
+		if end := h.transfers[id]; end != nil {
+			end()
+		}
+	}
+}
+
+// handOver takes a request from one host to another.
+func (f *isolationFleet) handOver(h *isolationHost, x Handover) {
+	f.handovers++
+	q := h.requests[x.Run]
+	run := h.engine.runs[x.Run]
+	var to *isolationHost
+	for _, o := range f.hosts {
+		if o.address == x.Address {
+			to = o
+		}
+	}
+	withdrawn, remoteRun := false, RunID(0)
+	reply := func(r HandoverReply) {
+		f.after(isolationHostDelay, func() { f.apply(h, h.engine.HandleHandover(f.now, x.Run, x.Address, r)) })
+	}
+	if to.old {
+		reply(HandoverReply{Result: handover.Unreachable})
+		return
+	}
+	h.transfers[x.Run] = func() {
+		withdrawn = true
+		reply(HandoverReply{Result: handover.Lost})
+		if remoteRun != 0 {
+			f.after(isolationHostDelay, func() { f.apply(to, to.engine.Abandon(f.now, remoteRun)) })
+		}
+	}
+	f.after(isolationHostDelay, func() {
+		if withdrawn {
+			return
+		}
+		guest := &isolationRequest{number: q.number, host: to, done: func(x Finish) {
+			if withdrawn {
+				return
+			}
+			r := HandoverReply{Result: x.Handover, NotRun: x.Verdict == Refused, Answer: x}
+			reply(r)
+		}}
+		remoteRun = f.start(to, guest, Request{
+			ID: run.req.ID, Route: f.rt, Deadline: run.req.Deadline, Fingerprint: run.req.Fingerprint, HandedOver: true, PriorCalls: x.PriorCalls,
+		})
+	})
 }
 
-func (f *isolationFleet) applyIsolation(*isolationHost, Actions) {}
+var isolationRegions = map[string]string{"a": "r", "b": "r", "c": "r"}
--- a/forward/part.go
+++ b/forward/part.go
@@ -28,6 +28,8 @@
 	mayHaveRun int
 	// answered is set once a server has answered, whatever the status.
 	answered bool
+	// unreached is set if the part has failed because no server could be reached.
+	unreached bool
 	// hedgeAt is when a hedge may be sent; it is zero if none may be.
 	hedgeAt time.Time
 	// linger is how long calls that are no longer wanted may take to complete.
@@ -78,6 +80,10 @@
 		return
 	}
 	target, reason := p.choose(now, false)
+	if target != nil && p.mayHaveRun > 0 && !p.run.engine.opts.Balancer.SpendRetry(now, p.service.name) {
+		p.fail(now, "the retry budget is exhausted")
+		return
+	}
 	switch {
 	case target != nil && !p.service.hasMoreUrgent(p):
 		p.send(now, target)
@@ -94,6 +100,9 @@
 	return r == policy.AllBusy || r == policy.AllCold || r == policy.AllLimited
 }
 
+// isUnreached reports whether a reason means that no server can be reached.
+func isUnreached(r policy.Reason) bool { return r == policy.AllDown || r == policy.NoServer }
+
 func (p *part) choose(now time.Time, hedge bool) (*policy.Target, policy.Reason) {
 	return p.run.engine.opts.Balancer.Choose(now, policy.ChooseInfo{
 		Service: p.service.name, ExpectedLatency: p.run.stats.medianLatency(), Tried: p.tried, Hedge: hedge,
@@ -106,7 +115,7 @@
 	e, medianLatency := p.run.engine, p.run.stats.medianLatency()
 	e.lastCall++
 	c := &call{id: e.lastCall, part: p, target: t, wanted: true, probe: p.run.suspected()}
-	c.policyCall = e.opts.Balancer.Begin(now, t, medianLatency, p.sent == 0)
+	c.policyCall = e.opts.Balancer.Begin(now, t, medianLatency, p.sent == 0 && p.mayHaveRun == 0)
 	e.calls[c.id] = c
 	if e.reachCheckAt.IsZero() {
 		e.scheduleReachCheck(now)
@@ -136,14 +145,18 @@
 		r.mayHaveRun--
 		p.mayHaveRun--
 	}
-	if r.done || p.state != partPending {
+	if r.done || p.state != partPending || r.transfer.to != "" {
+		return
+	}
+	if r.transfer.withdrawn || r.engine.isIsolated() && reply.Outcome != Answered {
+		p.handleWithdrawn(now, reply)
 		return
 	}
 	if c.probe && r.suspected() && (reply.Outcome == Broken || reply.Outcome == TimedOut) && now.Before(r.expiry()) {
 		r.failProbe(now, c, reply)
 		return
 	}
-	if reply.Outcome == Answered && (reply.OK || !r.isGather() && reply.Status < 500) {
+	if p.isAcceptable(reply) {
 		p.accept(reply)
 	} else {
 		r.tracef("%s at %s: %s after %v", p.service.name, c.target.ID, reply.Detail, now.Sub(c.policyCall.Sent).Round(time.Millisecond))
@@ -156,6 +169,24 @@
 	r.reschedule(now)
 }
 
+// handleWithdrawn processes the result of a call that ended after the host was
+// found to be isolated. The request is handed over after its last call.
+func (p *part) handleWithdrawn(now time.Time, reply Reply) {
+	r := p.run
+	if p.isAcceptable(reply) {
+		p.accept(reply)
+	}
+	if r.callsInFlight() == 0 {
+		r.transfer.withdrawn = false
+		r.handOverOrEnd(now, policy.NoServer)
+	}
+}
+
+// isAcceptable reports whether a reply is an answer to the part.
+func (p *part) isAcceptable(reply Reply) bool {
+	return reply.Outcome == Answered && (reply.OK || !p.run.isGather() && reply.Status < 500)
+}
+
 func (p *part) accept(reply Reply) {
 	p.state = partAnswered
 	p.signature, p.body, p.answer = reply.Signature, reply.Body, reply.Answer
@@ -178,6 +209,7 @@
 	notSent := reply.Outcome == NotSent
 	switch {
 	case p.sent >= maxSends:
+		p.unreached = notSent && !reply.Withheld
 		p.fail(now, reply.Detail)
 	case p.mayHaveRun > 0 && !rt.Idempotent:
 		p.fail(now, reply.Detail)
@@ -186,6 +218,7 @@
 	default:
 		target, reason := p.choose(now, false)
 		if target == nil && !mayBecomeFree(reason) {
+			p.unreached = notSent && !reply.Withheld || isUnreached(reason)
 			p.fail(now, reply.Detail)
 			return
 		}
@@ -207,6 +240,7 @@
 func (p *part) fail(now time.Time, reason string) {
 	p.state = partFailed
 	p.reason = reason
+	p.unreached = p.unreached || isUnreached(policy.Reason(reason))
 	p.run.pendingParts--
 	p.run.tracef("%s: failed, %s", p.service.name, reason)
 	p.stop()
--- a/forward/routestats.go
+++ b/forward/routestats.go
@@ -30,6 +30,10 @@
 	latency   policy.LatencyHistogram
 	// credit is how far each service of a split route is behind its share.
 	credit map[string]float64
+	// unservableVotes counts the hosts in a row that could not serve the route
+	// either. It is not handed over until unservableUntil.
+	unservableVotes int
+	unservableUntil time.Time
 	// commonWait is the caller timeout seen most often, voteLead its lead over
 	// all other values (Boyer-Moore majority vote).
 	commonWait time.Duration
--- a/forward/run.go
+++ b/forward/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/internal/timers"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
@@ -42,10 +43,15 @@
 	answeredBy    *policy.Target
 	crashReported bool
 	// draw is the random number for the first calls of all parts.
-	draw  float64
-	trace []string
-	timer timers.Timer
-	done  bool
+	draw     float64
+	transfer transfer
+	// isDirect and isGuest are set while the request counts among those that this
+	// host serves itself, and among those of other hosts.
+	isDirect bool
+	isGuest  bool
+	trace    []string
+	timer    timers.Timer
+	done     bool
 }
 
 // maxTrace bounds the trace of one request.
@@ -80,9 +86,16 @@
 	r.parts = make([]part, len(services))
 	r.pendingParts = len(services)
 	for i, s := range services {
-		r.parts[i] = part{run: r, service: r.engine.service(s), linger: lingerTime}
+		r.parts[i] = part{run: r, service: r.engine.service(s), linger: lingerTime, mayHaveRun: r.req.PriorCalls}
+	}
+	if !r.admit(now) {
+		return
 	}
 	if reason, ok := r.unservable(now); ok {
+		if reason == policy.NoServer {
+			r.endUnreached(now, reason)
+			return
+		}
 		r.refuse(now, string(reason), r.retryAfter(now, reason))
 		return
 	}
@@ -100,6 +113,39 @@
 	r.reschedule(now)
 }
 
+// admit reports whether this host may serve the request itself; otherwise it hands
+// it over or ends it.
+func (r *run) admit(now time.Time) bool {
+	e := r.engine
+	if e.isIsolated() {
+		r.handOverOrEnd(now, policy.NoServer)
+		return false
+	}
+	if !e.mayServeDirectly() && r.handOver(now, policy.NoServer) {
+		return false
+	}
+	if r.req.HandedOver && e.guests >= e.maxGuests() {
+		r.finish(now, Finish{Verdict: Refused, Reason: string(policy.AllBusy), RetryAfter: r.retryAfter(now, policy.AllBusy), Handover: handover.Busy})
+		return false
+	}
+	r.isDirect, r.isGuest = true, r.req.HandedOver
+	e.direct++
+	if r.isGuest {
+		e.guests++
+	}
+	return true
+}
+
+// endUnreached ends a request for which this host reaches too few servers: other
+// hosts may reach them.
+func (r *run) endUnreached(now time.Time, reason policy.Reason) {
+	if r.isUnreached(now) {
+		r.handOverOrEnd(now, reason)
+		return
+	}
+	r.refuseUnreached(now, reason)
+}
+
 // unservable reports, with a reason, whether too few of the services have a
 // reachable server.
 func (r *run) unservable(now time.Time) (policy.Reason, bool) {
@@ -171,7 +217,7 @@
 // and the objective has passed: they are worth more now than the parts still to
 // come would add later.
 func (r *run) settle(now time.Time) {
-	if r.done {
+	if r.done || r.transfer.to != "" || r.transfer.withdrawn {
 		return
 	}
 	switch {
@@ -183,7 +229,9 @@
 	case !now.Before(r.expiry()):
 		r.expire(now)
 	case !r.sufficient(r.answeredParts + r.pendingParts):
-		r.fail(now)
+		if !r.isUnreached(now) || !r.handOver(now, policy.Reason(r.firstFailureReason())) {
+			r.fail(now)
+		}
 	}
 }
 
@@ -191,6 +239,7 @@
 func (r *run) expiry() time.Time { return r.req.Deadline.Add(-expiryMargin) }
 
 func (r *run) answer(now time.Time) {
+	r.engine.reachChanged(now, r.engine.opts.Balancer.RecordServed())
 	if !r.isGather() {
 		r.finish(now, Finish{Verdict: PassThrough, Answer: r.parts[0].answer})
 		return
@@ -216,7 +265,11 @@
 		return
 	}
 	reason := r.firstFailureReason()
-	if r.mayHaveRun == 0 {
+	if !r.mayRunAnywhere() {
+		if r.isUnreached(now) {
+			r.refuseUnreached(now, policy.Reason(reason))
+			return
+		}
 		r.refuse(now, reason, r.retryAfter(now, policy.Reason(reason)))
 		return
 	}
@@ -234,13 +287,19 @@
 
 // expire ends a request at its deadline.
 func (r *run) expire(now time.Time) {
-	if r.mayHaveRun == 0 {
+	if !r.mayRunAnywhere() {
 		r.refuse(now, "no server was free before the deadline", r.retryAfter(now, policy.AllBusy))
 		return
 	}
 	r.finish(now, Finish{Verdict: Expired, Reason: "no answer before the deadline"})
 }
 
+// mayRunAnywhere reports whether a server, or another host, may have run the
+// request or may still run it.
+func (r *run) mayRunAnywhere() bool {
+	return r.mayHaveRun > 0 || r.transfer.priorCalls > 0 || r.transfer.to != ""
+}
+
 func (r *run) refuse(now time.Time, reason string, after time.Duration) {
 	r.finish(now, Finish{Verdict: Refused, Reason: reason, RetryAfter: after})
 }
@@ -257,6 +316,15 @@
 		return
 	}
 	r.done = true
+	if r.transfer.to != "" {
+		r.engine.out.Withdraw = append(r.engine.out.Withdraw, r.id)
+	}
+	if r.isDirect {
+		r.engine.direct--
+	}
+	if r.isGuest {
+		r.engine.guests--
+	}
 	for i := range r.parts {
 		r.parts[i].stop()
 	}
@@ -265,6 +333,17 @@
 }
 
 func (r *run) tick(now time.Time) {
+	if r.transfer.to != "" {
+		r.tickTransfer(now)
+		return
+	}
+	if r.transfer.withdrawn {
+		if !now.Before(r.expiry()) {
+			r.expire(now)
+		}
+		r.reschedule(now)
+		return
+	}
 	for i := range r.parts {
 		if r.done {
 			return
@@ -277,8 +356,12 @@
 
 // reschedule releases held parts and sets the timer to the next due time.
 func (r *run) reschedule(now time.Time) {
+	if r.transfer.to != "" || r.transfer.withdrawn {
+		r.rescheduleTransfer(now)
+		return
+	}
 	r.releaseHeld(now)
-	if r.done {
+	if r.done || r.transfer.to != "" {
 		return
 	}
 	next := r.expiry()
@@ -296,6 +379,22 @@
 	r.engine.timers.Set(r, next)
 }
 
+// rescheduleTransfer sets the timer of a request that another host has, or that
+// waits to be handed over.
+func (r *run) rescheduleTransfer(now time.Time) {
+	if r.done {
+		return
+	}
+	next := r.expiry()
+	if at, ok := r.transferDue(); ok && r.transfer.to != "" && at.Before(next) {
+		next = at
+	}
+	if next.Before(now) {
+		next = now
+	}
+	r.engine.timers.Set(r, next)
+}
+
 // pickService returns the service for a request: the route's only one or, on a
 // split route, the one furthest behind its share by weight.
 func (s *routeStats) pickService(rt *route.Route) string {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -10,6 +10,7 @@
 
 	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/route"
 )
 
@@ -36,12 +37,15 @@
 	// limitNotices counts the responses that name a request limit, limitFaults
 	// those with an invalid one.
 	limitNotices, limitFaults *metrics.Counter
-	// silent is set while no backend server answers this host.
-	silent atomic.Bool
+	// reach is the state of the host's reach. handovers counts the handovers by
+	// their result, probesReached and probesFailed the probes of servers.
+	reach                       atomic.Int64
+	handovers                   map[handover.Result]*metrics.Counter
+	probesReached, probesFailed *metrics.Counter
 }
 
 func newHostMetrics() *hostMetrics {
-	m := &hostMetrics{set: metrics.NewSet(), calls: make(map[forward.Outcome]*metrics.Counter)}
+	m := &hostMetrics{set: metrics.NewSet(), calls: make(map[forward.Outcome]*metrics.Counter), handovers: make(map[handover.Result]*metrics.Counter)}
 	for o, name := range outcomeNames {
 		m.calls[o] = m.set.NewCounter(fmt.Sprintf(`figmast_backend_calls_total{outcome=%q}`, name))
 	}
@@ -54,12 +58,12 @@
 	m.backoffNotices = m.set.NewCounter(`figmast_server_notices_total{notice="backoff"}`)
 	m.limitNotices = m.set.NewCounter(`figmast_server_notices_total{notice="limit"}`)
 	m.limitFaults = m.set.NewCounter(`figmast_server_notices_total{notice="invalid_limit"}`)
-	m.set.NewGauge("figmast_backends_silent", func() float64 {
-		if m.silent.Load() {
-			return 1
-		}
-		return 0
-	})
+	m.set.NewGauge("figmast_backend_reach", func() float64 { return float64(m.reach.Load()) })
+	for _, result := range handover.Results() {
+		m.handovers[result] = m.set.NewCounter(fmt.Sprintf(`figmast_handovers_total{result=%q}`, result))
+	}
+	m.probesReached = m.set.NewCounter(`figmast_reach_probes_total{result="reached"}`)
+	m.probesFailed = m.set.NewCounter(`figmast_reach_probes_total{result="failed"}`)
 	return m
 }
 
@@ -99,6 +103,16 @@
 	m.checksAccepted.Inc()
 }
 
+func (m *hostMetrics) countHandover(r handover.Result) { m.handovers[r].Inc() }
+
+func (m *hostMetrics) countProbe(err error) {
+	if err != nil {
+		m.probesFailed.Inc()
+		return
+	}
+	m.probesReached.Inc()
+}
+
 func (m *hostMetrics) observeRequest(route string, status int, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`figmast_requests_total{route=%q,status="%d"}`, route, status)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`figmast_request_duration_seconds{route=%q}`, route)).Update(took.Seconds())
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -27,6 +27,12 @@
 	// timeout if it says nothing. deadline is when the shorter of the two ends.
 	callerTimeout time.Duration
 	deadline      time.Time
+	// arrivedAt is when the request arrived, at the host that has handed it over if
+	// guest is set. configVersion is the version of the configuration that route is
+	// of.
+	arrivedAt     time.Time
+	configVersion int64
+	guest         *guest
 	fingerprint   uint64
 	// head holds the request line and the headers that are the same for every
 	// backend server.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
@@ -78,7 +79,11 @@
 		RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		DrainFor: s.DrainFor, EvacuateFor: s.EvacuateFor,
 	})
-	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: s.CPUCapacity, Heartbeat: s.Heartbeat})
+	var peers *handover.Peers
+	if s.HandoverPort > 0 {
+		peers = handover.NewPeers(handover.Options{Address: s.Address, DataCentre: s.DataCentre, Regions: s.Regions, Rand: random})
+	}
+	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: s.CPUCapacity, Heartbeat: s.Heartbeat, Peers: peers})
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.metrics, l)
 	g.handler = &callerHandler{runner: g.runner, headers: p.Headers, log: l, metrics: g.metrics}
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
@@ -137,6 +142,12 @@
 			return err
 		}
 	}
+	if g.settings.HandoverPort > 0 {
+		address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.HandoverPort))
+		if err := g.serve(address, g.handler.handoverServer()); err != nil {
+			return err
+		}
+	}
 	if g.settings.MetricsPort > 0 {
 		address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.MetricsPort))
 		if err := g.startServer(address, g.metrics.handler()); err != nil {
@@ -155,11 +166,15 @@
 const auxiliaryTimeout = 2 * time.Second
 
 func (g *Gateway) startServer(address string, h http.Handler) error {
+	return g.serve(address, &http.Server{Handler: h, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: time.Minute})
+}
+
+// serve runs a server until the host stops.
+func (g *Gateway) serve(address string, s *http.Server) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadTimeout: auxiliaryTimeout, WriteTimeout: auxiliaryTimeout, IdleTimeout: time.Minute}
 	g.servers = append(g.servers, s)
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/http1"
 	"github.com/figmast/figmast/route"
 )
@@ -48,32 +49,52 @@
 	finish forward.Finish
 	// fingerprint is the request's; a caller's repeated attempts have the same.
 	fingerprint uint64
+	guest       *guest
 }
 
 // ServeHTTP implements http.Handler.
 func (h *callerHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	removeHandoverHeaders(r.Header)
+	h.serve(w, r, nil)
+}
+
+// serve serves a request of a caller, or one that another host has handed over.
+func (h *callerHandler) serve(w http.ResponseWriter, r *http.Request, g *guest) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	began := h.runner.now()
+	if g != nil {
+		began = began.Add(-g.elapsed)
+		w.Header().Set(headerHandoverResult, handover.Final.String())
+	}
 	topology := h.runner.topology.Load()
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	var out outcome
 	var rt *route.Route
+	var config *route.Config
+	if topology != nil {
+		config = topology.Config
+	}
+	result, isRefused := h.refuseGuest(g, config)
 	switch {
-	case topology == nil || topology.Config == nil:
+	case isRefused:
+		w.Header().Set(headerHandoverResult, result.String())
+		out = h.respondRefused(w, 0, "not taken from another host: "+result.String())
+	case config == nil:
 		out = h.respondRefused(w, noConfigRetryAfter, "no configuration is known")
 	default:
 		target := originForm(r.RequestURI)
 		path, _, _ := strings.Cut(target, "?")
-		if rt = topology.Config.Match(r.Host, path); rt == nil {
+		if rt = config.Match(r.Host, path); rt == nil {
 			out = h.respondText(w, http.StatusNotFound, "no route matches")
 			break
 		}
-		out = h.forward(w, r, rt, topology.Config, target, began)
+		out = h.forward(w, r, rt, config, target, began, g)
 	}
-	h.recordRequest(r, rt, topology, out, h.runner.now().Sub(began))
+	out.guest = g
+	h.recordRequest(r, rt, config, out, h.runner.now().Sub(began))
 }
 
 // originForm strips the scheme and the host from a request target in absolute
@@ -95,7 +116,7 @@
 	return "/"
 }
 
-func (h *callerHandler) forward(w http.ResponseWriter, r *http.Request, rt *route.Route, c *route.Config, target string, began time.Time) outcome {
+func (h *callerHandler) forward(w http.ResponseWriter, r *http.Request, rt *route.Route, c *route.Config, target string, began time.Time, g *guest) outcome {
 	body, err := readBody(w, r, c.Limits.BodyBytes)
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -106,7 +127,7 @@
 		return h.respondText(w, http.StatusBadRequest, "the body did not arrive: "+err.Error())
 	}
 	q := &callerRequest{
-		id: r.Header.Get(h.headers.RequestID), method: r.Method, route: rt, callerTimeout: rt.Timeout,
+		id: r.Header.Get(h.headers.RequestID), method: r.Method, route: rt, callerTimeout: rt.Timeout, arrivedAt: began, configVersion: c.Version, guest: g,
 		fingerprint: hashRequest(r, target, body),
 		head:        encodeHead(r, target, h.headers), body: body, hasBody: r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 	}
@@ -121,6 +142,9 @@
 	if !ok {
 		return outcome{reason: "the caller went away", fingerprint: q.fingerprint}
 	}
+	if g != nil {
+		w.Header().Set(headerHandoverResult, f.Handover.String())
+	}
 	out := h.respond(w, f)
 	out.fingerprint = q.fingerprint
 	return out
@@ -149,6 +173,8 @@
 		out = h.respondPassed(w, f.Answer.(*http1.Response))
 	case forward.Merged:
 		out = h.respondMerged(w, f)
+	case forward.Relayed:
+		out = h.respondRelayed(w, f.Answer.(*http1.Response))
 	case forward.Refused:
 		out = h.respondRefused(w, f.RetryAfter, f.Reason)
 	case forward.Failed:
@@ -170,12 +196,19 @@
 			return h.respondText(w, http.StatusBadGateway, fmt.Sprintf("the server answered %d and may have run the request", s))
 		}
 	}
+	writeResponse(w, a, func(name string) bool { // meant for this host only
+		return strings.EqualFold(name, h.headers.Leaving) || strings.EqualFold(name, h.headers.RequestLimit)
+	})
+	return outcome{status: a.Status}
+}
+
+// writeResponse writes a response without the headers that leaveOut selects.
+func writeResponse(w http.ResponseWriter, a *http1.Response, leaveOut func(name string) bool) {
 	header := w.Header()
 	for _, name := range endToEndHeaders(a.Header) {
-		if strings.EqualFold(name, h.headers.Leaving) || strings.EqualFold(name, h.headers.RequestLimit) {
-			continue // meant for this host only
+		if !leaveOut(name) {
+			header[name] = a.Header[name]
 		}
-		header[name] = a.Header[name]
 	}
 	disableSniffing(header)
 	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
@@ -187,7 +220,6 @@
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a disconnected caller is detected through its context
-	return outcome{status: a.Status}
 }
 
 // disableSniffing keeps net/http from guessing a content type.
@@ -232,13 +264,13 @@
 }
 
 // recordRequest counts a request and logs it within the limit of log lines.
-func (h *callerHandler) recordRequest(r *http.Request, rt *route.Route, topology *route.Topology, out outcome, took time.Duration) {
+func (h *callerHandler) recordRequest(r *http.Request, rt *route.Route, config *route.Config, out outcome, took time.Duration) {
 	name, version := "none", int64(0)
 	if rt != nil {
 		name = rt.Name
 	}
-	if topology != nil && topology.Config != nil {
-		version = topology.Config.Version
+	if config != nil {
+		version = config.Version
 	}
 	h.metrics.observeRequest(name, out.status, took)
 	h.mu.Lock()
@@ -257,6 +289,9 @@
 	if out.fingerprint != 0 && (out.reason != "" || len(out.finish.Trace) > 0) {
 		fields = append(fields, "content", crash.FormatFingerprint(out.fingerprint))
 	}
+	if out.guest != nil {
+		fields = append(fields, "handed_over_by", out.guest.from)
+	}
 	if out.finish.Missing > 0 {
 		fields = append(fields, "missing", out.finish.Missing)
 	}
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/http1"
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
@@ -22,14 +24,20 @@
 	now     func() time.Time
 	pool    *http1.Pool
 	headers Headers
-	metrics *hostMetrics
-	log     *log.Logger
+	// peerPool keeps connections to the other hosts' handoverPort.
+	peerPool     *http1.Pool
+	handoverPort string
+	address      string
+	metrics      *hostMetrics
+	log          *log.Logger
 
 	mu       sync.Mutex
 	balancer *policy.Balancer
 	engine   *forward.Engine
 	requests map[forward.RunID]*pendingRequest
 	cancels  map[forward.CallID]context.CancelFunc
+	// handovers cancels the handovers in progress.
+	handovers map[forward.RunID]context.CancelFunc
 	// sleepsUntil is when the timer ticks the engine next unless it is woken
 	// earlier; zero before its first tick.
 	sleepsUntil time.Time
@@ -77,6 +85,8 @@
 		now: now, headers: h, balancer: b, engine: e, dataCentre: s.DataCentre, metrics: m, log: l,
 		pool:     http1.NewPool(http1.Options{RequestIDHeader: h.RequestID, Now: now, MaxBufferedBytes: s.MemoryBytes / bufferDivisor}),
 		requests: make(map[forward.RunID]*pendingRequest), cancels: make(map[forward.CallID]context.CancelFunc),
+		peerPool:  http1.NewPool(http1.Options{RequestIDHeader: h.RequestID, Now: now, MaxBufferedBytes: s.MemoryBytes / bufferDivisor}),
+		handovers: make(map[forward.RunID]context.CancelFunc), handoverPort: strconv.Itoa(s.HandoverPort), address: s.Address,
 		wake: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	r.liveEndpoints.Store(&map[http1.Endpoint]bool{})
@@ -90,9 +100,11 @@
 		r.confirmedAt.Store(r.now().Add(-v.Age).UnixNano())
 	}
 	addresses := make([]string, len(v.Hosts))
+	peers := make([]handover.Host, len(v.Hosts))
 	local := 0
 	for i, h := range v.Hosts {
 		addresses[i] = h.Address
+		peers[i] = handover.Host{Address: h.Address, DataCentre: h.DataCentre}
 		if h.DataCentre == r.dataCentre {
 			local++
 		}
@@ -101,6 +113,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.balancer.ApplyHosts(now, addresses, local)
+	r.engine.SetHosts(peers)
 	r.balancer.SetSlowServers(v.Slow)
 	if v.Limits != nil {
 		r.balancer.SetReportedLimits(now, v.Limits)
@@ -174,9 +187,12 @@
 	defer r.mu.Unlock()
 	q := pending.request
 	elapsed := r.engine.EstimateElapsed(q.route, q.callerTimeout)
-	id, actions := r.engine.Start(r.now(), forward.Request{
-		ID: q.id, Route: q.route, Deadline: q.deadline, Elapsed: elapsed, Fingerprint: q.fingerprint,
-	})
+	req := forward.Request{ID: q.id, Route: q.route, Deadline: q.deadline, Elapsed: elapsed, Fingerprint: q.fingerprint}
+	if q.guest != nil {
+		req.HandedOver, req.PriorCalls = true, q.guest.priorCalls
+		req.Elapsed += r.now().Sub(q.arrivedAt)
+	}
+	id, actions := r.engine.Start(r.now(), req)
 	r.requests[id] = pending
 	r.perform(actions)
 	return id
@@ -195,6 +211,7 @@
 			time.AfterFunc(c.After, cancel)
 		}
 	}
+	r.runHandovers(a)
 	for _, f := range a.Finish {
 		if pending := r.requests[f.Run]; pending != nil {
 			pending.finish <- f
@@ -204,6 +221,10 @@
 	for _, c := range a.Reach {
 		r.recordReach(c)
 	}
+	for _, p := range a.Probe {
+		r.goroutines.Add(1)
+		go r.probe(p)
+	}
 	for _, c := range a.Check {
 		r.goroutines.Add(1)
 		go r.checkServer(c)
@@ -216,16 +237,19 @@
 	}
 }
 
-// recordReach logs that no backend server answers this host, or that one does
-// again.
+// reachMessages holds the log message for each state of the host's reach.
+var reachMessages = map[policy.ReachState]string{
+	policy.Silent:     "no backend server answers",
+	policy.Isolated:   "no backend server can be reached",
+	policy.Recovering: "backend servers can be reached again",
+	policy.Reachable:  "backend servers answer again",
+}
+
+// recordReach logs and counts a change of whether this host reaches backend
+// servers.
 func (r *runner) recordReach(c policy.ReachChange) {
-	if !c.Silent {
-		r.metrics.silent.Store(false)
-		r.log.Info("backend servers answer again", "silent_ms", r.now().Sub(c.HeardAt).Milliseconds())
-		return
-	}
-	r.metrics.silent.Store(true)
-	r.log.Warn("no backend server answers", "silent_ms", r.now().Sub(c.HeardAt).Milliseconds(), "unreached", c.Unreached)
+	r.metrics.reach.Store(int64(c.State))
+	r.log.Info(reachMessages[c.State], "silent_ms", r.now().Sub(c.HeardAt).Milliseconds(), "unreached", c.Unreached)
 }
 
 // call makes one call to a backend server and passes its result to the engine.
@@ -333,6 +357,7 @@
 		case <-t.C:
 			live := *r.liveEndpoints.Load()
 			r.pool.PruneIdle(func(p http1.Endpoint) bool { return live[p] })
+			r.peerPool.PruneIdle(func(http1.Endpoint) bool { return true })
 		}
 	}
 }
@@ -358,6 +383,9 @@
 	for _, cancel := range r.cancels {
 		cancel()
 	}
+	for _, cancel := range r.handovers {
+		cancel()
+	}
 	r.mu.Unlock()
 	r.goroutines.Wait()
 }
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -23,6 +23,9 @@
 	// PeerPort is the port for connections between hosts, the same on every
 	// host.
 	PeerPort int
+	// HandoverPort is the port on which hosts take requests of other hosts, the same
+	// on every host; with 0 none are handed over.
+	HandoverPort int
 	// MetricsPort is the port on which metrics are served; with 0 they are not.
 	MetricsPort int
 	// Seeds are the IP addresses of some hosts, through which the others are
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -193,16 +193,23 @@
 func (p *Pool) RefusesConnections(endpoint Endpoint, maxIdle time.Duration) bool {
 	c := p.takeIdle(endpoint, defaultIdleTimeout)
 	if c == nil {
-		var err error
-		if c, err = p.dial(context.Background(), endpoint); err != nil {
-			return IsConnRefused(err)
-		}
-		c.idleTimeout, c.lastUsed = min(c.idleTimeout, maxIdle), p.opts.Now()
+		return IsConnRefused(p.Connect(endpoint, maxIdle))
 	}
 	p.addIdle(c)
 	return false
 }
 
+// Connect opens a connection to a server and keeps it for at most maxIdle.
+func (p *Pool) Connect(endpoint Endpoint, maxIdle time.Duration) error {
+	c, err := p.dial(context.Background(), endpoint)
+	if err != nil {
+		return err
+	}
+	c.idleTimeout = min(c.idleTimeout, maxIdle)
+	p.putIdle(c)
+	return nil
+}
+
 // IsConnRefused reports whether an error means that nothing listens at the
 // address.
 func IsConnRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
--- a/policy/slow.go
+++ b/policy/slow.go
@@ -59,6 +59,9 @@
 // slow: the slow calls recorded since the last call, and later calls that were
 // fast.
 func (b *Balancer) TakeSlowSpans() []SlowSpan {
+	if b.reach.state == Silent || b.reach.state == Isolated {
+		return nil // the calls may be slow because of this host's path
+	}
 	var out []SlowSpan
 	for id, span := range b.slowSpans {
 		if t := b.byID[id]; t != nil {
