forward, gateway: a host that stops takes no request that it cannot end in time

Report of another operator: in a planned stop, requests taken late in the grace period were passed on and cut at its end. Here they were ended with 502 when the host gave up on all requests 0.7 s before the end of the grace, and requests that arrived after that were still passed on.

The engine now knows when the host ends all requests, and refuses as not run what it cannot expect to end by then: four times the route's median and 300 ms, ten times and a second for what may run only once. The caller is told to come back in 10 ms, to another host.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,6 +194,8 @@
 	crashes  crashDetector
 	// reachCheckAt is when the host's reach is checked next; zero means never.
 	reachCheckAt time.Time
+	// stopAt is when the host ends all requests; zero while it is not stopping.
+	stopAt time.Time
 	// isolatedAt is when the host was last found to be isolated, silentSince when a
 	// server had last answered then. isolationProven is set once another host has
 	// served a request meanwhile.
@@ -285,7 +287,33 @@
 	return e.takeActions()
 }
 
+// StopAt tells when the host will end all requests in progress. Requests that
+// cannot be expected to end by then are refused from now on.
+func (e *Engine) StopAt(at time.Time) { e.stopAt = at }
+
+// endsBeforeStop reports whether a request that begins now can be expected to end
+// before the host does. A request that may run only once gets more time: nobody
+// could tell its caller whether it ran.
+func (r *run) endsBeforeStop(now time.Time) bool {
+	if r.engine.stopAt.IsZero() {
+		return true
+	}
+	factor, least := time.Duration(stopPatience), minStopTime
+	if !r.req.Route.Idempotent {
+		factor, least = onceStopPatience, minOnceStopTime
+	}
+	return !now.Add(max(factor*r.stats.medianLatency(), least)).After(r.engine.stopAt)
+}
+
 const (
+	// A request needs stopPatience times its route's median latency, and minStopTime
+	// at least, before the host ends; one that may run only once needs the longer
+	// ones.
+	stopPatience     = 4
+	minStopTime      = 300 * time.Millisecond
+	onceStopPatience = 10
+	minOnceStopTime  = time.Second
+
 	stoppingReason = "the host is stopping"
 	// stoppingRetryAfter is short: the retry goes to another host.
 	stoppingRetryAfter = 10 * time.Millisecond
--- a/forward/run.go
+++ b/forward/run.go
@@ -75,6 +75,10 @@
 
 // begin sends the first calls or refuses the request.
 func (r *run) begin(now time.Time) {
+	if !r.endsBeforeStop(now) {
+		r.finish(now, Finish{Verdict: Refused, Reason: stoppingReason, RetryAfter: stoppingRetryAfter, Handover: handover.Busy})
+		return
+	}
 	if v := r.engine.crashes.verdicts[r.req.Fingerprint]; v.Refused() {
 		r.refuseCrashing(now, v)
 		return
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -92,6 +92,9 @@
 			}
 			b.closed <- struct{}{}
 			return
+		case strings.Contains(target, "takes"):
+			time.Sleep(takesTime)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\ndone")
 		case strings.Contains(target, "leaves"):
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "limit"):
@@ -110,6 +113,9 @@
 	}
 }
 
+// takesTime is how long the backend takes for paths with "takes".
+const takesTime = 400 * time.Millisecond
+
 func readHead(r *bufio.Reader) (head string, length int, err error) {
 	for {
 		line, err := r.ReadString('\n')
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -368,6 +368,13 @@
 	go r.runPruning()
 }
 
+// stopAt tells the engine that the host ends all requests after the given time.
+func (r *runner) stopAt(after time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.engine.StopAt(r.now().Add(after))
+}
+
 // finishAll gives every request in progress its final response.
 func (r *runner) finishAll() {
 	r.mu.Lock()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -27,12 +27,13 @@
 
 // Stop shuts the host down gracefully: it reports not ready, waits until the
 // load balancer sends nothing more, finishes the requests in progress and
-// closes the listeners.
+// closes the listeners. Requests that cannot end in time are refused.
 func (g *Gateway) Stop(context.Context) error {
 	began := time.Now()
 	g.handler.draining.Store(true)
 	g.log.Info("host stopping", "requests_in_progress", g.handler.active.Load(), "grace_ms", g.settings.Grace.Milliseconds())
 	cutoff := began.Add(g.settings.Grace - exitMargin)
+	g.runner.stopAt(g.settings.Grace - exitMargin)
 	time.Sleep(min(balancerDelay, time.Until(cutoff)))
 	for quietSince := time.Now(); time.Now().Before(cutoff); time.Sleep(drainPollInterval) {
 		if g.handler.active.Load() > 0 {
