--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/figmast/figmast/crash"
 	"github.com/figmast/figmast/forward"
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
@@ -139,13 +140,24 @@
 }
 
 func newTestGateway(t *testing.T, b *backend) *testGateway {
+	return newTestHost(t, b, Settings{Address: "127.0.0.1", DataCentre: "a"})
+}
+
+// newTestHost returns a host that hands over requests if the settings name a
+// handover port.
+func newTestHost(t *testing.T, b *backend, s Settings) *testGateway {
 	now := clock.Now()
 	random := rand.New(rand.NewPCG(1, 2))
-	balancer := policy.NewBalancer(now, policy.BalancerOptions{Address: "127.0.0.1", DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, DrainFor: 800 * time.Millisecond})
+	balancer := policy.NewBalancer(now, policy.BalancerOptions{Address: s.Address, DataCentre: "a", Rand: random, RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, DrainFor: 800 * time.Millisecond})
 	logger, lines := NewLogger(io.Discard, "h")
 	t.Cleanup(lines.Close)
 	metrics := newHostMetrics()
-	r := newRunner(clock.Now, Settings{DataCentre: "a"}, testHeaders, balancer, forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: 1}), metrics, logger)
+	var peers *handover.Peers
+	if s.HandoverPort > 0 {
+		peers = handover.NewPeers(handover.Options{Address: s.Address, DataCentre: s.DataCentre, Rand: random})
+	}
+	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: 1, Peers: peers})
+	r := newRunner(clock.Now, s, testHeaders, balancer, engine, metrics, logger)
 	r.start()
 	t.Cleanup(r.shutdown)
 	g := &testGateway{callerHandler: &callerHandler{runner: r, headers: testHeaders, log: logger, metrics: metrics}}
