http1: keep-alive probes are not cut short by TCP_USER_TIMEOUT

New on the users' pages: TCP_USER_TIMEOUT also decides when keep-alive probes give up. With 3 s and the first probe after 3 s, a path that was silent for a second at the wrong moment broke calls in progress, though three probes were meant.

Probes go out each second, three unanswered ones end the connection, and the timeout is as long as they take (4 s). The other connections are decided one by one in docs/design/connections.md; none changes.

--- a/http1/pool.go
+++ b/http1/pool.go
@@ -37,9 +37,14 @@
 	// maxFreshIdle is how long a connection may have been idle for a call that
 	// must not run twice.
 	maxFreshIdle = 250 * time.Millisecond
+	// A connection is given up when keepAliveProbes probes have not been answered,
+	// the first of which is sent after keepAliveInterval without a packet.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
 	// userTimeout bounds how long sent bytes may stay unacknowledged
-	// (TCP_USER_TIMEOUT).
-	userTimeout = 3 * time.Second
+	// (TCP_USER_TIMEOUT). It also ends the probes, so it must not be shorter than
+	// they take.
+	userTimeout = (1 + keepAliveProbes) * keepAliveInterval
 	// readBufferBytes fits a part of a query in one read.
 	readBufferBytes = 2 << 10
 	// asyncWriteBytes is the size from which a request is written while the
@@ -168,7 +173,7 @@
 
 func (p *Pool) dial(ctx context.Context, endpoint Endpoint) (*conn, error) {
 	d := net.Dialer{Timeout: p.opts.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: userTimeout, Interval: time.Second, Count: 3,
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
 	c, err := d.DialContext(ctx, "tcp", endpoint.Address)
 	if err != nil {
