forward, policy: a host that is cut off reports no crashes of servers

Found by the test of isolated hosts, at 91 hosts: connections that are reset or refused on a host's own path look like servers that have ended. Hosts that were cut off reported 10 to 39 crashes, so that other hosts refuse the requests named in them for a minute.

A finding now waits while the host's path is in doubt, and is dropped if other hosts serve its requests, or if it opens no new connection while servers answer on open ones. A server whose entry is gone is reported at once, and so are findings if the other hosts reach no server either.

TestCallersOfIsolatedHostsAreServed checks reports too, and plays hosts of an earlier version and older configurations; TestFleetWithoutServersRefusesAtOnce bounds messages and waits where nobody reaches a server. The sim's retry slack follows the deployments' (2.1 a host at least).

The soak's hosts get a port for handovers.

--- a/forward/attribution.go
+++ b/forward/attribution.go
@@ -145,7 +145,7 @@
 	list := c.unanswered[t]
 	delete(c.unanswered, t)
 	delete(c.lastCheck, t)
-	if t.IsLeaving() || e.isolationProven {
+	if t.IsLeaving() || e.isIsolated() && e.isolation == isolationProven {
 		return
 	}
 	broken := false
--- a/forward/crashes.go
+++ b/forward/crashes.go
@@ -97,11 +97,12 @@
 			return true
 		case !f.part.run.done && now.Sub(f.at) < findingDelay:
 			return false
-		case !f.server.Gone() && e.isPathInDoubt(now):
-			return false
 		}
-		c.report(now, f)
-		return true
+		d := e.doubtFinding(now, f)
+		if d == noDoubt {
+			c.report(now, f)
+		}
+		return d != undecided
 	})
 	out := c.reports
 	c.reports = nil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -69,6 +69,8 @@
 	// if the address refuses connections.
 	Misdirected bool
 	Unreachable bool
+	// Connected is set if a new connection was opened for the call.
+	Connected bool
 	// Withheld is set if a call was not sent for a reason on this host: its time
 	// had passed, or its server had been withdrawn or given up on.
 	Withheld bool
@@ -197,11 +199,10 @@
 	// stopAt is when the host ends all requests; zero while it is not stopping.
 	stopAt time.Time
 	// isolatedAt is when the host was last found to be isolated, silentSince when a
-	// server had last answered then. isolationProven is set once another host has
-	// served a request meanwhile.
-	isolatedAt      time.Time
-	silentSince     time.Time
-	isolationProven bool
+	// server had last answered then. isolation is what other hosts have told since.
+	isolatedAt  time.Time
+	silentSince time.Time
+	isolation   isolationProof
 	// direct counts the requests that count towards the direct limit of a host that
 	// recovers from an isolation, guests the requests from other hosts.
 	direct int
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -43,9 +43,11 @@
 // HandoverReply is the result of a handover.
 type HandoverReply struct {
 	Result handover.Result
-	// Answer is the other host's final answer; NotRun is set if it says that the
-	// request has not run, and RetryAfter is when the caller may come again then.
+	// Answer is the other host's final answer. Served is set if it is a success,
+	// NotRun if it says that the request has not run; RetryAfter is when the caller
+	// may come again then.
 	Answer     any
+	Served     bool
 	NotRun     bool
 	RetryAfter time.Duration
 	Detail     string
@@ -86,12 +88,10 @@
 	t := &r.transfer
 	r.tracef("%s: %s after %v", t.to, cmp.Or(reply.Detail, reply.Result.String()), now.Sub(t.at).Round(time.Millisecond))
 	t.to = ""
+	r.engine.noteProof(reply.Served, reply.Result)
 	switch reply.Result {
 	case handover.Final:
 		r.stats.unservableVotes = 0
-		if !reply.NotRun {
-			r.engine.proveIsolation()
-		}
 		r.relay(now, reply)
 		return
 	case handover.Unservable:
--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -76,6 +76,11 @@
 	isolationHostDelay = time.Millisecond
 	isolationDial      = 250 * time.Millisecond
 	isolationBreak     = 4 * time.Second
+	// isolationRetrySlack is the least retry slack for each host of the known
+	// deployments.
+	isolationRetrySlack = 2.1
+	// isolationPoll is how often hosts exchange what they have found.
+	isolationPoll = 100 * time.Millisecond
 )
 
 type isolationServer struct {
@@ -94,6 +99,7 @@
 	dataCentre string
 	isolated   bool
 	old        bool
+	outdated   bool
 	pooled     map[string]bool
 	requests   map[RunID]*isolationRequest
 	calls      map[CallID]bool
@@ -129,11 +135,18 @@
 	doubled       int
 	falseRefusals int
 	refused       []int
-	unanswered    int
-	late          int
-	arrivals      int
-	handovers     int
-	dials         int
+	// longestRefusal is the longest time from a request during the cut to its
+	// refusal.
+	longestRefusal time.Duration
+	unanswered     int
+	late           int
+	arrivals       int
+	handovers      int
+	cutHandovers   int
+	// crashReports counts reports that a server has crashed, slowReports those that
+	// one is slow by hosts that are cut off.
+	crashReports, slowReports int
+	dials                     int
 }
 
 func newIsolationFleet(shape isolationShape) *isolationFleet {
@@ -167,8 +180,9 @@
 		h := &isolationHost{address: address, dataCentre: dc, transfers: make(map[RunID]func()), pooled: make(map[string]bool), requests: make(map[RunID]*isolationRequest), calls: make(map[CallID]bool), dialing: make(map[CallID]bool)}
 		h.isolated = i < cut || shape.wholeDataCentre && dc == "a"
 		h.old = shape.oldHosts && !h.isolated && i%2 == 0
+		h.outdated = shape.newerConfig && !h.isolated && i%2 == 0
 		h.balancer = policy.NewBalancer(f.now, policy.BalancerOptions{
-			Address: address, DataCentre: dc, Regions: isolationRegions, Rand: f.random, RetryRatio: 0.2, RetrySlack: 58, RetryWindow: 10 * time.Second,
+			Address: address, DataCentre: dc, Regions: isolationRegions, Rand: f.random, RetryRatio: 0.2, RetrySlack: max(58, isolationRetrySlack*float64(shape.hosts)), RetryWindow: 10 * time.Second,
 		})
 		h.balancer.Apply(f.now, topology)
 		h.balancer.ApplyHosts(f.now, addresses, (shape.hosts+2)/3)
@@ -248,14 +262,14 @@
 	}
 	if !f.isCut(h) {
 		h.pooled[x.Target.ID] = true
-		f.after(isolationHostDelay, func() { f.arrive(h, x, number) })
+		f.after(isolationHostDelay, func() { f.arrive(h, x, number, !pooled) })
 		return
 	}
 	switch {
 	case f.shape.fault == linkReset:
 		end(isolationHostDelay, Reply{Outcome: NotSent, Detail: "not sent: connection reset"})
 	case f.shape.fault == linkRefuse && pooled:
-		f.after(isolationHostDelay, func() { f.arrive(h, x, number) })
+		f.after(isolationHostDelay, func() { f.arrive(h, x, number, !pooled) })
 	case f.shape.fault == linkRefuse:
 		end(isolationHostDelay, Reply{Outcome: NotSent, Unreachable: true, Detail: "not sent: connection refused"})
 	case pooled:
@@ -266,7 +280,7 @@
 	}
 }
 
-func (f *isolationFleet) arrive(h *isolationHost, x Send, number int) {
+func (f *isolationFleet) arrive(h *isolationHost, x Send, number int, connected bool) {
 	s := f.servers[x.Target.ID]
 	f.arrivals++
 	s.queue = append(s.queue, func() {
@@ -282,7 +296,9 @@
 		f.after(took, func() {
 			s.running--
 			if !f.isCut(h) || f.shape.fault == linkRefuse {
-				f.endCall(h, x.Call, ok("x"))
+				r := ok("x")
+				r.Connected = connected
+				f.endCall(h, x.Call, r)
 			}
 			f.startQueued(s)
 		})
@@ -315,6 +331,21 @@
 	}
 }
 
+// collectReports takes what the hosts have found of the servers, all of which are
+// well.
+func (f *isolationFleet) collectReports() {
+	for _, h := range f.hosts {
+		for _, x := range h.engine.TakeReports(f.now) {
+			if !x.Answered {
+				f.crashReports++
+			}
+		}
+		if spans := h.balancer.TakeSlowSpans(); f.isCut(h) && f.now.Sub(f.t0) >= isolationStart+isolationContact {
+			f.slowReports += len(spans)
+		}
+	}
+}
+
 // request sends a caller's first try to a host.
 func (f *isolationFleet) request(number int, h *isolationHost) {
 	since := f.now.Sub(f.t0)
@@ -335,6 +366,9 @@
 		}
 		if x.Verdict == Refused {
 			f.refused = append(f.refused, number)
+			if q.counted {
+				f.longestRefusal = max(f.longestRefusal, f.now.Sub(q.sentAt))
+			}
 		}
 		if q.counted && isServed(x) {
 			f.count(&f.isolatedServed, &f.otherServed, h)
@@ -365,6 +399,9 @@
 		f.events.add(f.t0.Add(at), func() { f.request(n, h) })
 	}
 	f.events.add(f.t0.Add(isolationStart), f.cutConnections)
+	for at := time.Duration(0); at < isolationPlay; at += isolationPoll {
+		f.events.add(f.t0.Add(at), f.collectReports)
+	}
 	end := f.t0.Add(isolationPlay + 5*time.Second)
 	for len(f.events.list) > 0 && f.now.Before(end) {
 		var first *isolationHost
@@ -412,6 +449,9 @@
 			if f.doubled > 0 || f.falseRefusals > 0 {
 				t.Errorf("%d requests ran twice, %d were refused although they ran", f.doubled, f.falseRefusals)
 			}
+			if f.crashReports > 0 || f.slowReports > 0 {
+				t.Errorf("hosts reported %d crashes and %d slow servers, though all servers were well", f.crashReports, f.slowReports)
+			}
 			if f.unanswered > 0 || f.late > 0 {
 				t.Errorf("%d requests have no final answer, %d got theirs late", f.unanswered, f.late)
 			}
@@ -419,6 +459,32 @@
 	}
 }
 
+// TestFleetWithoutServersRefusesAtOnce guards against storms of messages between
+// hosts, and late refusals, while no host reaches a server.
+func TestFleetWithoutServersRefusesAtOnce(t *testing.T) {
+	const (
+		// A refusal takes a message to each host that is asked and back.
+		maxWait = 50 * time.Millisecond
+		// Each host asks each other host about once a second.
+		maxAsksPerSecond = 1.5
+	)
+	for _, hosts := range []int{2, 9, 91} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			f := newIsolationFleet(isolationShape{hosts: hosts, share: 1, fault: linkSilent, shards: 10, rate: 120})
+			f.play()
+			cut := (isolationEnd - isolationStart - isolationContact).Seconds()
+			asks := float64(f.cutHandovers) / float64(hosts*(hosts-1)) / cut
+			t.Logf("%d handovers, %.2f a second from each host to each other; longest refusal %v", f.handovers, asks, f.longestRefusal)
+			if asks > maxAsksPerSecond {
+				t.Errorf("each host asked each other one %.2f times a second", asks)
+			}
+			if f.longestRefusal > maxWait || f.falseRefusals > 0 || f.unanswered > 0 {
+				t.Errorf("longest refusal %v, %d false ones, %d requests without an answer", f.longestRefusal, f.falseRefusals, f.unanswered)
+			}
+		})
+	}
+}
+
 func isolationShapes() []isolationShape {
 	var out []isolationShape
 	for _, fault := range []linkFault{linkSilent, linkReset, linkRefuse} {
@@ -435,6 +501,8 @@
 	return append(out,
 		isolationShape{hosts: 9, share: 0.89, fault: linkSilent, rate: 60},
 		isolationShape{hosts: 295, share: 0.6, fault: linkSilent, shards: 12, rate: 90},
+		isolationShape{hosts: 9, share: 0.34, fault: linkSilent, shards: 10, rate: 120, oldHosts: true},
+		isolationShape{hosts: 9, share: 0.34, fault: linkReset, shards: 10, rate: 120, newerConfig: true},
 	)
 }
 
@@ -470,6 +538,9 @@
 // handOver takes a request from one host to another.
 func (f *isolationFleet) handOver(h *isolationHost, x Handover) {
 	f.handovers++
+	if f.isCut(h) && f.now.Sub(f.t0) >= isolationStart+isolationContact {
+		f.cutHandovers++
+	}
 	q := h.requests[x.Run]
 	run := h.engine.runs[x.Run]
 	var to *isolationHost
@@ -482,9 +553,13 @@
 	reply := func(r HandoverReply) {
 		f.after(isolationHostDelay, func() { f.apply(h, h.engine.HandleHandover(f.now, x.Run, x.Address, r)) })
 	}
-	if to.old {
+	switch {
+	case to.old:
 		reply(HandoverReply{Result: handover.Unreachable})
 		return
+	case to.outdated:
+		reply(HandoverReply{Result: handover.Outdated})
+		return
 	}
 	h.transfers[x.Run] = func() {
 		withdrawn = true
@@ -501,7 +576,7 @@
 			if withdrawn {
 				return
 			}
-			r := HandoverReply{Result: x.Handover, NotRun: x.Verdict == Refused, Answer: x}
+			r := HandoverReply{Result: x.Handover, Served: isServed(x), NotRun: x.Verdict == Refused, Answer: x}
 			reply(r)
 		}}
 		remoteRun = f.start(to, guest, Request{
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/policy"
 )
 
@@ -20,11 +21,17 @@
 // observeReach records what the result of a call says about the host's own path
 // to the backend servers.
 func (e *Engine) observeReach(now time.Time, c *call, reply Reply) {
+	b := e.opts.Balancer
+	if reply.Connected {
+		b.RecordConnected()
+	}
 	switch {
 	case reply.Outcome == Answered || reply.Outcome == NotRun:
-		e.reachChanged(now, e.opts.Balancer.RecordAnswer(now))
-	case reply.Outcome == Broken, reply.Outcome == NotSent && !reply.Withheld:
-		e.opts.Balancer.RecordPathFailure(c.target)
+		e.reachChanged(now, b.RecordAnswer(now))
+	case reply.Outcome == Broken:
+		b.RecordPathFailure(c.target)
+	case reply.Outcome == NotSent && !reply.Withheld:
+		b.RecordNotConnected(c.target)
 	}
 	e.scheduleReachCheck(now)
 }
@@ -53,7 +60,10 @@
 		return
 	}
 	e.out.Reach = append(e.out.Reach, *c)
-	e.isolationProven = false
+	if c.Previous == policy.Isolated && e.isolation != isolationDenied && e.hasPeers() {
+		e.crashes.forget(e.silentSince)
+	}
+	e.isolation = isolationUntold
 	if c.State != policy.Isolated {
 		return
 	}
@@ -72,24 +82,78 @@
 	return !limited || e.direct < limit
 }
 
-// proofTime is how long an isolated host waits for another host to serve a
-// request. If none does, the servers may have ended in fact.
+// proofTime is how long an isolated host waits for another host to tell whether
+// it serves requests.
 const proofTime = time.Second
 
 // proveIsolation processes the fact that another host has served a request that
 // this one could not.
 func (e *Engine) proveIsolation() {
-	if e.isIsolated() && !e.isolationProven {
-		e.isolationProven = true
+	if e.isIsolated() && e.isolation != isolationProven {
+		e.isolation = isolationProven
 		e.crashes.forget(e.silentSince)
 	}
 }
 
-// isPathInDoubt reports whether failures of servers may turn out to be failures
-// of this host's own path.
-func (e *Engine) isPathInDoubt(now time.Time) bool {
-	if e.isIsolated() {
-		return now.Sub(e.isolatedAt) < proofTime
+// hasPeers reports whether other hosts are known.
+func (e *Engine) hasPeers() bool { return e.opts.Peers != nil && e.opts.Peers.Len() > 0 }
+
+// isolationProof is what other hosts have told an isolated host.
+type isolationProof int
+
+const (
+	// isolationUntold means that none has answered, isolationUndecided that one has,
+	// but neither served a request nor found itself isolated.
+	isolationUntold isolationProof = iota
+	isolationUndecided
+	// isolationProven means that another host has served a request,
+	// isolationDenied that none could: the servers may have ended in fact.
+	isolationProven
+	isolationDenied
+)
+
+// noteProof records what the result of a handover says about the isolation.
+func (e *Engine) noteProof(served bool, result handover.Result) {
+	switch {
+	case served:
+		e.proveIsolation()
+	case e.isolation == isolationProven:
+	case result == handover.Isolated || result == handover.Unservable:
+		e.isolation = isolationDenied
+	case result == handover.Final && e.isolation == isolationUntold:
+		e.isolation = isolationUndecided
+	}
+}
+
+// doubt is whether a finding that a server has crashed holds.
+type doubt int
+
+const (
+	noDoubt doubt = iota
+	// undecided findings wait, refuted ones are dropped.
+	undecided
+	refuted
+)
+
+// doubtFinding tells whether the end of a server may in fact be a failure of this
+// host's own path.
+func (e *Engine) doubtFinding(now time.Time, f finding) doubt {
+	recent := now.Sub(f.at) < proofTime
+	switch {
+	case f.server.Gone():
+		return noDoubt
+	case e.opts.Balancer.LacksConnections() && recent:
+		return undecided // until a probe tells
+	case e.opts.Balancer.LacksConnections() && e.opts.Balancer.HeardSince(f.at):
+		return refuted
+	case e.isIsolated() && (now.Sub(e.isolatedAt) < proofTime):
+		return undecided
+	case e.isIsolated() && e.isolation == isolationUndecided:
+		return refuted
+	case e.isIsolated() && e.isolation == isolationUntold && e.hasPeers() && now.Sub(f.at) < e.unansweredTTL():
+		return undecided
+	case e.opts.Balancer.IsPathSuspected(now) && (recent || e.opts.Balancer.ReachState() == policy.Silent):
+		return undecided
 	}
-	return e.opts.Balancer.IsPathSuspected(now)
+	return noDoubt
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -154,6 +154,7 @@
 
 func (r *runner) replyFromResponse(a *http1.Response) forward.Reply {
 	reply := r.classifyResponse(a)
+	reply.Connected = a.Connected
 	if a.Status == http.StatusServiceUnavailable {
 		var fault string
 		if reply.Backoff, fault = parseRetryAfter(a.Header); reply.Backoff > 0 {
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -156,7 +156,7 @@
 	if !ok {
 		return forward.HandoverReply{Result: handover.Lost, Detail: "status " + strconv.Itoa(a.Status) + " without a result"}
 	}
-	reply := forward.HandoverReply{Result: result, Answer: a, NotRun: slices.Contains(notRunStatuses, a.Status)}
+	reply := forward.HandoverReply{Result: result, Answer: a, Served: a.Status >= 200 && a.Status < 300, NotRun: slices.Contains(notRunStatuses, a.Status)}
 	reply.RetryAfter, _ = parseRetryAfter(a.Header)
 	return reply
 }
--- a/handover/handover.go
+++ b/handover/handover.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// Len returns the number of other hosts.
+func (p *Peers) Len() int { return len(p.order) }
+
 // Choose returns the address of the host that should get a request, and false if
 // there is none. Hosts in tried are left out, and so are those outside the
 // regions unless there are none.
--- a/http1/call.go
+++ b/http1/call.go
@@ -63,7 +63,8 @@
 		maxIdle = maxFreshIdle
 	}
 	c := p.takeIdle(call.Endpoint, maxIdle)
-	if c == nil {
+	connected := c == nil
+	if connected {
 		var err error
 		if c, err = p.dial(ctx, call.Endpoint); err != nil {
 			return nil, NotSent, err
@@ -78,7 +79,11 @@
 		p.close(c)
 		return nil, NotSent, errGuardRefused
 	}
-	return p.exchange(ctx, c, call, left)
+	response, outcome, err := p.exchange(ctx, c, call, left)
+	if response != nil {
+		response.Connected = connected
+	}
+	return response, outcome, err
 }
 
 func (p *Pool) exchange(ctx context.Context, c *conn, call Call, left time.Duration) (*Response, Outcome, error) {
--- a/http1/response.go
+++ b/http1/response.go
@@ -19,6 +19,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Connected is set if a new connection was opened for the call.
+	Connected bool
 }
 
 const (
--- a/policy/reach.go
+++ b/policy/reach.go
@@ -57,6 +57,9 @@
 	// not be reached, or broke off a call, since then.
 	heardAt time.Time
 	failed  map[*Target]bool
+	// unconnected holds the servers that took no new connection since one was last
+	// opened. They may still answer on connections that are open.
+	unconnected map[*Target]bool
 	// pendingProbes counts the probes in progress, nextProbe is when an isolated
 	// host probes again, and calmUntil until when nothing is suspected.
 	pendingProbes int
@@ -66,7 +69,9 @@
 	answered int
 }
 
-func newReach(now time.Time) reach { return reach{heardAt: now, failed: make(map[*Target]bool)} }
+func newReach(now time.Time) reach {
+	return reach{heardAt: now, failed: make(map[*Target]bool), unconnected: make(map[*Target]bool)}
+}
 
 // ReachChange is a change of the state of the host's reach.
 type ReachChange struct {
@@ -100,6 +105,14 @@
 	return b.reach.state == Silent || len(b.reach.failed) >= minUnreached && !now.Before(b.reach.calmUntil)
 }
 
+// LacksConnections reports whether several servers take no new connection from
+// this host and none has since. It may be this host's own path that fails, though
+// servers may answer on connections that are open.
+func (b *Balancer) LacksConnections() bool { return len(b.reach.unconnected) >= minUnreached }
+
+// HeardSince reports whether a server has answered since a time.
+func (b *Balancer) HeardSince(at time.Time) bool { return b.reach.heardAt.After(at) }
+
 func (b *Balancer) setReach(s ReachState, unreached int) *ReachChange {
 	c := &ReachChange{State: s, Previous: b.reach.state, HeardAt: b.reach.heardAt, Unreached: unreached}
 	b.reach.state = s
@@ -135,8 +148,15 @@
 	return b.setReach(Reachable, 0)
 }
 
-// RecordPathFailure records that a server could not be reached, or that its
-// connection broke before it answered.
+// RecordConnected records that a new connection has been opened.
+func (b *Balancer) RecordConnected() { clear(b.reach.unconnected) }
+
+// RecordNotConnected records that a server took no new connection.
+func (b *Balancer) RecordNotConnected(t *Target) {
+	b.reach.failed[t], b.reach.unconnected[t] = true, true
+}
+
+// RecordPathFailure records that a server's connection broke before it answered.
 func (b *Balancer) RecordPathFailure(t *Target) { b.reach.failed[t] = true }
 
 // RecordProbe records whether a probe has reached a server, and returns the
@@ -144,6 +164,9 @@
 func (b *Balancer) RecordProbe(now time.Time, reached bool) *ReachChange {
 	r := &b.reach
 	r.pendingProbes = max(r.pendingProbes-1, 0)
+	if reached {
+		b.RecordConnected()
+	}
 	switch {
 	case r.state == Silent && reached:
 		r.calmUntil = now.Add(suspicionPause)
@@ -195,7 +218,7 @@
 	case Reachable, Recovering:
 	}
 	if now.Sub(r.heardAt) < silenceTime || now.Before(r.calmUntil) {
-		return nil, nil
+		return nil, b.connectionProbes(now)
 	}
 	unreached, need := b.countUnreached(now)
 	if unreached < need {
@@ -207,6 +230,17 @@
 	return b.setReach(Silent, unreached), b.probeTargets(now, suspicionProbes)
 }
 
+// connectionProbes returns the servers to be probed to tell whether all refuse new
+// connections while open ones live on.
+func (b *Balancer) connectionProbes(now time.Time) []*Target {
+	r := &b.reach
+	if !b.LacksConnections() || r.pendingProbes > 0 || now.Before(r.nextProbe) {
+		return nil
+	}
+	r.nextProbe = now.Add(isolationProbeInterval)
+	return b.probeTargets(now, 1)
+}
+
 // probeTargets returns up to n random servers.
 func (b *Balancer) probeTargets(now time.Time, n int) []*Target {
 	var out []*Target
@@ -266,6 +300,8 @@
 		return time.Time{}, false
 	case r.state == Isolated:
 		return later(r.nextProbe, now.Add(reachCheckInterval)), true
+	case b.LacksConnections():
+		return now.Add(reachCheckInterval), true
 	case b.inFlight == 0 && len(r.failed) == 0:
 		return time.Time{}, false
 	}
--- a/soak/host.go
+++ b/soak/host.go
@@ -36,7 +36,7 @@
 }
 
 const (
-	callersPort, readyPort, controlPort, firstPort, lastPort = 18080, 18081, 18082, 18090, 18091
+	callersPort, readyPort, controlPort, firstPort, lastPort = 18080, 18081, 18082, 18090, 18092
 	// stopGrace is how long a host may take to stop.
 	stopGrace = 4 * time.Second
 	// applyBound is the time within which changes of the configuration and of
