forward: a host that did not answer counts as two attempts; isolation is denied by all hosts only

A host that had a request and did not answer may have called two servers of a shard (a first call and a hedge). It counted as one, so that the next host could go over the route's attempts. It now counts as two (TestLostHandoverCountsAsAttempts). Where no attempt is left, the caller gets 502 after a second at least rather than at its deadline.

--- a/forward/handover.go
+++ b/forward/handover.go
@@ -14,10 +14,16 @@
 	// maxHandovers bounds the hosts that one request is handed over to: most of the
 	// fleet may be isolated at the same time.
 	maxHandovers = 8
+	// callsPerHandover is how many servers may have run each part at a host that did
+	// not answer: by a first call, and by a retry or a hedge.
+	callsPerHandover = 2
 	// A host is given up on after handoverPatience times the route's median latency,
-	// and minHandoverPatience at least, if the request may be repeated.
+	// and minHandoverPatience at least, if another host may run the request then. If
+	// only the caller may send it again, the host gets the longer times.
 	handoverPatience    = 5
 	minHandoverPatience = 500 * time.Millisecond
+	finalPatience       = 10
+	minFinalPatience    = time.Second
 	// guestsPerCore is how many requests of other hosts a host with one core serves
 	// at a time, and minGuests how many the smallest host does, so that its own
 	// callers are not starved.
@@ -59,7 +65,8 @@
 	to    string
 	at    time.Time
 	tried []string
-	// priorCalls counts the hosts that the request was lost at.
+	// priorCalls counts the servers that may have run each part at hosts that did not
+	// answer.
 	priorCalls int
 	reason     string
 	// withdrawn is set while the request waits for its calls to end before it is
@@ -97,7 +104,7 @@
 	case handover.Unservable:
 		r.stats.voteUnservable(now)
 	case handover.Lost:
-		t.priorCalls++
+		t.priorCalls += callsPerHandover
 		if !r.req.Route.Idempotent {
 			r.finish(now, Finish{Verdict: Failed, Reason: "the host that had the request did not answer"})
 			return
@@ -147,6 +154,7 @@
 	t := &r.transfer
 	address, ok := r.engine.opts.Peers.Choose(now, t.tried, r.req.Route.AllowedRegions)
 	if !ok {
+		r.engine.denyIsolation()
 		return false
 	}
 	r.stopParts()
@@ -236,12 +244,17 @@
 }
 
 // transferDue returns when the host that has the request is given up on, and false
-// if it is not: the request may not be repeated.
+// if it is not: a request that may run only once is not repeated by its caller
+// either.
 func (r *run) transferDue() (time.Time, bool) {
-	if !r.req.Route.Idempotent || r.callsPerPart()+1 >= r.req.Route.MaxAttempts {
+	if !r.req.Route.Idempotent {
 		return time.Time{}, false
 	}
-	return r.transfer.at.Add(max(handoverPatience*r.stats.medianLatency(), minHandoverPatience)), true
+	factor, least := time.Duration(finalPatience), minFinalPatience
+	if r.callsPerPart()+callsPerHandover < r.req.Route.MaxAttempts {
+		factor, least = handoverPatience, minHandoverPatience
+	}
+	return r.transfer.at.Add(max(factor*r.stats.medianLatency(), least)), true
 }
 
 // isUnreached reports whether the request has too few parts because servers
--- a/forward/isolation_test.go
+++ b/forward/isolation_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
@@ -586,3 +588,35 @@
 }
 
 var isolationRegions = map[string]string{"a": "r", "b": "r", "c": "r"}
+
+// TestLostHandoverCountsAsAttempts guards against more calls to the servers of one
+// shard than the route allows when a host that has the request does not answer.
+func TestLostHandoverCountsAsAttempts(t *testing.T) {
+	for attempts, hosts := range map[int]int{2: 1, 3: 2, 5: 3} {
+		t.Run(fmt.Sprint(attempts), func(t *testing.T) {
+			is := is.New(t)
+			w := newHarness(t, "s")
+			w.engine.opts.Peers = handover.NewPeers(handover.Options{Address: "10.1.0.1", DataCentre: "a", Rand: w.engine.opts.Rand})
+			w.engine.SetHosts([]handover.Host{{Address: "10.1.0.2"}, {Address: "10.1.0.3"}, {Address: "10.1.0.4"}, {Address: "10.1.0.5"}})
+			rt := singleRoute(true)
+			rt.MaxAttempts = attempts
+			_, a := w.engine.Start(w.now, Request{ID: "r", Route: rt, Deadline: w.now.Add(rt.Timeout), Fingerprint: 7})
+			for _, s := range a.Send { // all servers are out of reach
+				a = w.engine.HandleReply(w.now, s.Call, Reply{Outcome: NotSent})
+			}
+			for len(a.Send) > 0 {
+				a = w.engine.HandleReply(w.now, a.Send[0].Call, Reply{Outcome: NotSent})
+			}
+			asked, prior := 0, []int{0, callsPerHandover, 2 * callsPerHandover}
+			for len(a.Handover) > 0 {
+				is.Equal(a.Handover[0].PriorCalls, prior[asked])
+				is.True(a.Handover[0].PriorCalls < attempts)
+				asked++
+				a = w.engine.HandleHandover(w.now, a.Handover[0].Run, a.Handover[0].Address, HandoverReply{Result: handover.Lost})
+			}
+			is.Equal(asked, hosts)
+			is.Equal(len(a.Finish), 1)
+			is.Equal(a.Finish[0].Verdict, Failed) // not refused, as it may have run
+		})
+	}
+}
--- a/forward/reach.go
+++ b/forward/reach.go
@@ -117,14 +117,19 @@
 	switch {
 	case served:
 		e.proveIsolation()
-	case e.isolation == isolationProven:
-	case result == handover.Isolated || result == handover.Unservable:
-		e.isolation = isolationDenied
-	case result == handover.Final && e.isolation == isolationUntold:
+	case result == handover.Final && e.isolation != isolationProven:
 		e.isolation = isolationUndecided
 	}
 }
 
+// denyIsolation processes the fact that no host is left to ask: all have said that
+// they reach no server either.
+func (e *Engine) denyIsolation() {
+	if e.isIsolated() && e.isolation == isolationUntold {
+		e.isolation = isolationDenied
+	}
+}
+
 // doubt is whether a finding that a server has crashed holds.
 type doubt int
 
