--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
+	"github.com/figmast/figmast/policy"
 	"github.com/figmast/figmast/route"
 )
 
@@ -39,14 +41,14 @@
 	server := p.helper.handoverServer()
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	p.isolated.applyRoutes(dead.address, 2)
-	p.helper.applyRoutes(b.address, helperVersion)
+	p.isolated.applyRoutes(2, dead.address)
+	p.helper.applyRoutes(helperVersion, b.address)
 	return p
 }
 
 // applyRoutes puts a configuration in force with routes for requests that may be
 // repeated, and for those that may not.
-func (g *testGateway) applyRoutes(server string, version int64) {
+func (g *testGateway) applyRoutes(version int64, servers ...string) {
 	c := &route.Config{
 		Version: version, Services: map[string]route.Service{"s": {Name: "s", MaxConnections: 60}},
 		Limits: route.Limits{HeaderBytes: 4096, BodyBytes: 64, HeaderTimeout: time.Second, IdleTimeout: time.Second},
@@ -56,9 +58,13 @@
 		},
 	}
 	c.Index()
+	topology := &route.Topology{Config: c}
+	for i, address := range servers {
+		topology.Servers = append(topology.Servers, route.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", Address: address, DataCentre: "a", Slots: 4})
+	}
 	g.runner.applyView(feed.View{
 		Hosts: []news.Host{{Address: "127.0.0.1", DataCentre: "a"}, {Address: "127.0.0.2", DataCentre: "a"}}, AgeKnown: true,
-		Topology: &route.Topology{Config: c, Servers: []route.Server{{ID: "i-1", Service: "s", Address: server, DataCentre: "a", Slots: 4}}},
+		Topology: topology,
 	})
 }
 
@@ -128,7 +134,7 @@
 	dead := newBackend(t)
 	dead.closeListener()
 	g := newTestHost(t, nil, Settings{Address: "127.0.0.1", DataCentre: "a", HandoverPort: l.Addr().(*net.TCPAddr).Port, MemoryBytes: 1 << 28})
-	g.applyRoutes(dead.address, 1)
+	g.applyRoutes(1, dead.address)
 	resp, _ := g.send(t, "POST /p/a"+get+"Content-Length: 0\r\n\r\n")
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
@@ -145,7 +151,7 @@
 func TestRequestIsHandedOverOnlyOnce(t *testing.T) {
 	is := is.New(t)
 	p := newHostPair(t, 2)
-	p.helper.applyRoutes("127.0.0.1:1", 3)
+	p.helper.applyRoutes(3, "127.0.0.1:1")
 	began := time.Now()
 	resp, _ := p.isolated.send(t, "GET /p/a"+get+"\r\n")
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
@@ -180,3 +186,75 @@
 		is.Equal(len(h), 0)
 	}
 }
+
+// silentAddress returns a loopback address at which connection attempts get no
+// answer: the queue of new connections is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(unix.Listen(fd, 0))
+	bound, err := unix.Getsockname(fd)
+	is.NoErr(err)
+	address := fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+	for {
+		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestIsolatedHostServesThroughAnotherHost plays servers that are silent, and
+// servers that refuse connections, for one host only.
+func TestIsolatedHostServesThroughAnotherHost(t *testing.T) {
+	const servers = 4
+	for name, address := range map[string]func(*testing.T) string{
+		"silent": silentAddress,
+		"refuse": func(t *testing.T) string {
+			b := newBackend(t)
+			b.closeListener()
+			return b.address
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newHostPair(t, 2)
+			var unreachable []string
+			for range servers {
+				unreachable = append(unreachable, address(t))
+			}
+			p.isolated.applyRoutes(2, unreachable...)
+			for i := range 20 {
+				resp, _ := p.isolated.send(t, "GET /all/x"+strings.Replace(get, "400", "2000", 1)+"\r\n")
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("request %d got status %d", i, resp.StatusCode)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(p.isolated.metrics.reach.Load(), int64(policy.Isolated))
+			began := time.Now()
+			resp, _ := p.isolated.send(t, "GET /p/x"+get+"\r\n")
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.True(time.Since(began) < 100*time.Millisecond) // without an attempt at the servers
+
+			reached := newBackend(t)
+			p.isolated.applyRoutes(3, reached.address)
+			p.helper.applyRoutes(3, p.backend.address)
+			for end := time.Now().Add(3 * time.Second); p.isolated.metrics.reach.Load() != int64(policy.Reachable); time.Sleep(10 * time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the host did not find that it reaches servers again")
+				}
+				resp, _ := p.isolated.send(t, "GET /all/x"+get+"\r\n")
+				is.Equal(resp.StatusCode, http.StatusOK)
+			}
+			reached.mu.Lock()
+			defer reached.mu.Unlock()
+			is.True(len(reached.heads) > 0)
+		})
+	}
+}
