--- a/http1/cut_test.go
+++ b/http1/cut_test.go
@@ -15,7 +15,7 @@
 // TestResponseCutShortIsNoResponse guards against a response whose server stops
 // after any of its bytes and closes being taken for a complete one.
 func TestResponseCutShortIsNoResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Sign: s\r\nServer-Leaving: 1\r\nServer-Limit: 5\r\nKeep-Alive: timeout=20\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Sign: s\r\nX-Leaves: 1\r\nX-Limit: 5\r\nKeep-Alive: timeout=20\r\n"
 	for _, c := range []struct {
 		name, method, text string
 		// headOnly is set where only a cut in the head can be seen.
