--- a/review/_kit/backoff.go
+++ b/review/_kit/backoff.go
@@ -17,6 +17,7 @@
 	backoffSlack = 500 * time.Millisecond
 	// maxArrivals is how many requests may still reach the server from one host.
 	maxArrivals = 2
+	lookPause   = 80 * time.Millisecond
 )
 
 // stayAwayLog is what the overloaded server has said and got, by host.
@@ -54,7 +55,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			lookUntil(done, b, n)
+			lookUntil(done, b, n, lookPause)
 		}()
 	}
 	time.Sleep(2 * time.Second)
@@ -107,15 +108,15 @@
 	return answerAtOnce(l, c, q)
 }
 
-// lookUntil sends requests to one host until done is closed.
-func lookUntil(done chan struct{}, b *bed, n int) {
+// lookUntil sends requests to one host, with pauses, until done is closed.
+func lookUntil(done chan struct{}, b *bed, n int, pause time.Duration) {
 	h := b.hosts[n%len(b.hosts)]
 	var c *conn
 	for i := 0; ; i++ {
 		select {
 		case <-done:
 			return
-		case <-time.After(time.Duration(60+rand.IntN(80)) * time.Millisecond):
+		case <-time.After(pause/2 + rand.N(pause)):
 		}
 		if c == nil {
 			var err error
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -39,6 +39,7 @@
 	"asked-to-stay-away":         askedToStayAway,
 	"request-that-crashes":       requestThatCrashesServers,
 	"store-moves":                storeMoves,
+	"readers-cut-server-leaves":  readersCutWhileServerLeaves,
 }
 
 var headers = platform.Headers()
--- a/review/_kit/poison.go
+++ b/review/_kit/poison.go
@@ -96,7 +96,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			lookUntil(done, b, n)
+			lookUntil(done, b, n, lookPause)
 		}()
 	}
 	for n := range poisonTries {
--- a/review/_kit/stale.go
+++ b/review/_kit/stale.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +41,29 @@
 	store  http.Handler
 	closed atomic.Bool
 	calls  atomic.Int64
+
+	mu        sync.Mutex
+	heldUntil time.Time
+}
+
+// hold holds up the calls and the answers that are on their way.
+func (g *gate) hold(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.heldUntil = time.Now().Add(d)
+}
+
+// pass waits until the way is open.
+func (g *gate) pass() {
+	for {
+		g.mu.Lock()
+		left := time.Until(g.heldUntil)
+		g.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
 }
 
 // ServeHTTP implements http.Handler.
@@ -48,7 +73,31 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	g.store.ServeHTTP(w, r)
+	g.pass()
+	got := httptest.NewRecorder()
+	g.store.ServeHTTP(got, r)
+	g.pass()
+	maps.Copy(w.Header(), got.Header())
+	w.WriteHeader(got.Code)
+	_, _ = w.Write(got.Body.Bytes()) // the host may have given up
+}
+
+// findReaders returns the hosts that read the store.
+func (b *bed) findReaders(gates map[*host]*gate) (readers []*host, err error) {
+	for _, g := range gates {
+		g.calls.Store(0)
+	}
+	time.Sleep(watchTime)
+	for _, h := range b.hosts {
+		b.record("%s has called the store %d times in %v", h.Name, gates[h].calls.Load(), watchTime)
+		if gates[h].calls.Load() > 0 {
+			readers = append(readers, h)
+		}
+	}
+	if len(readers) == 0 || len(readers) > fleetSize/3 {
+		return nil, errors.New("none or too many hosts read the store")
+	}
+	return readers, nil
 }
 
 // addGates gives each host its own way to the store.
@@ -106,19 +155,9 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
-	for _, g := range gates {
-		g.calls.Store(0)
-	}
-	time.Sleep(watchTime)
-	var away []*host
-	for _, h := range b.hosts {
-		b.record("%s has called the store %d times in %v", h.Name, gates[h].calls.Load(), watchTime)
-		if gates[h].calls.Load() > 0 {
-			away = append(away, h)
-		}
-	}
-	if len(away) == 0 || len(away) > fleetSize/3 {
-		return nil, errors.New("more hosts read the store than it may turn away")
+	away, err := b.findReaders(gates)
+	if err != nil {
+		return nil, err
 	}
 	turn := func(closed bool) {
 		for _, h := range away {
