review: a caller that leaves is answered with a success

Cause: the handler returns without writing when the caller's context has ended, and net/http then sends 200 with an empty body. A caller that closes only its sending side, to leave or because it has nothing more to send, receives it.

Done: case 6 shows it with three hosts on loopback, and the driver of the cases 6 to 10 (review/_kit2, built by review/build-2.sh).

--- /dev/null
+++ b/review/_kit2/billing.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/figmast/figmast/route"
+)
+
+// billing is a service with the figures of billing-desk on the users' sheet.
+const billing = "billing-desk"
+
+var zones = []string{"atlanta-yard", "birmingham-yard", "baton-rouge-yard"}
+
+func billingRoute(maxAttempts int) route.Route {
+	return route.Route{
+		Name: "billing-lookup", Host: requestHost, Prefix: "/w/", Service: billing, Idempotent: true,
+		Timeout: 15 * time.Second, Objective: 800 * time.Millisecond, MaxAttempts: maxAttempts, Priority: 2,
+	}
+}
+
+// startBilling starts three servers of the service, one in each zone, and three
+// hosts, and waits until the hosts are in touch.
+func startBilling(r *recorder, maxAttempts int) (*fleet, error) {
+	f, err := newFleet(r)
+	if err != nil {
+		return nil, err
+	}
+	for _, zone := range zones {
+		if _, err := f.addServer(billing, zone, 3); err != nil {
+			return f, err
+		}
+	}
+	f.putConfig(11, []route.Route{billingRoute(maxAttempts)}, []string{billing})
+	if err := f.addGateways(len(zones)); err != nil {
+		return f, err
+	}
+	for _, g := range f.gateways {
+		for i := range 4 {
+			id := fmt.Sprintf("first-%s-%d", g.name, i)
+			if a := send(g.front, "GET", "/w/20/"+id, id, 15*time.Second, nil); a.status != http.StatusOK {
+				return f, fmt.Errorf("request %s before the disruption: %v", id, a)
+			}
+		}
+	}
+	time.Sleep(contact + time.Second)
+	return f, nil
+}
