--- a/review/_kit2/billing.go
+++ b/review/_kit2/billing.go
@@ -9,30 +9,33 @@
 )
 
 // billing is a service with the figures of billing-desk on the users' sheet.
-const billing = "billing-desk"
+const (
+	billing = "billing-desk"
+	slots   = 6
+)
 
 var zones = []string{"atlanta-yard", "birmingham-yard", "baton-rouge-yard"}
 
-func billingRoute(maxAttempts int) route.Route {
+func billingRoute() route.Route {
 	return route.Route{
 		Name: "billing-lookup", Host: requestHost, Prefix: "/w/", Service: billing, Idempotent: true,
-		Timeout: 15 * time.Second, Objective: 800 * time.Millisecond, MaxAttempts: maxAttempts, Priority: 2,
+		Timeout: 15 * time.Second, Objective: 800 * time.Millisecond, MaxAttempts: 2, Priority: 2,
 	}
 }
 
-// startBilling starts three servers of the service, one in each zone, and three
-// hosts, and waits until the hosts are in touch.
-func startBilling(r *recorder, maxAttempts int) (*fleet, error) {
+// startBilling starts servers of the service, spread over the zones, and a host in
+// each zone, and waits until the hosts are in touch.
+func startBilling(r *recorder, rt route.Route, servers int) (*fleet, error) {
 	f, err := newFleet(r)
 	if err != nil {
 		return nil, err
 	}
-	for _, zone := range zones {
-		if _, err := f.addServer(billing, zone, 3); err != nil {
+	for i := range servers {
+		if _, err := f.addServer(billing, zones[i%len(zones)], slots); err != nil {
 			return f, err
 		}
 	}
-	f.putConfig(11, []route.Route{billingRoute(maxAttempts)}, []string{billing})
+	f.putConfig(11, []route.Route{rt}, []string{billing})
 	if err := f.addGateways(len(zones)); err != nil {
 		return f, err
 	}
--- a/review/_kit2/crash.go
+++ b/review/_kit2/crash.go
@@ -23,7 +23,9 @@
 // every few seconds, at one host after the other. Without the disruption the request
 // is an ordinary one.
 func playCrash(r *recorder, trouble bool) (bool, error) {
-	f, err := startBilling(r, 3)
+	rt := billingRoute()
+	rt.MaxAttempts = 3
+	f, err := startBilling(r, rt, 3)
 	if f != nil {
 		defer f.stop()
 	}
--- a/review/_kit2/leave.go
+++ b/review/_kit2/leave.go
@@ -20,7 +20,7 @@
 // playLeave has some clients leave before their deadline: they close the sending
 // side of their connection and read what still comes.
 func playLeave(r *recorder, trouble bool) (bool, error) {
-	f, err := startBilling(r, 2)
+	f, err := startBilling(r, billingRoute(), 3)
 	if f != nil {
 		defer f.stop()
 	}
