review: record what the clients of the cases send

Cause: the records of the cases 6, 7 and 9 held answers and runs only.

Done: a line for each request that a client sends.

--- a/review/_kit2/crash.go
+++ b/review/_kit2/crash.go
@@ -39,6 +39,7 @@
 		for try := range 1 + clientRetries {
 			g := f.gateways[(i+try)%len(f.gateways)]
 			id := fmt.Sprintf("report-%d-%d", i, try)
+			r.add("client sends %s to %s", id, g.name)
 			a := send(g.front, "GET", crashPath, id, 15*time.Second, nil)
 			r.add("client got for %s at %s: %v", id, g.name, a)
 			if a.status == http.StatusOK {
--- a/review/_kit2/garble.go
+++ b/review/_kit2/garble.go
@@ -157,7 +157,9 @@
 				if method == "POST" {
 					body = []byte("bill " + id)
 				}
-				a := send(f.gateways[i%len(f.gateways)].front, method, fmt.Sprintf("/w/%d/%s", garbleWorkMs, id), id, 15*time.Second, body)
+				g := f.gateways[i%len(f.gateways)]
+				f.record.add("client sends %s to %s", id, g.name)
+				a := send(g.front, method, fmt.Sprintf("/w/%d/%s", garbleWorkMs, id), id, 15*time.Second, body)
 				f.record.add("client got for %s: %v", id, a)
 				mu.Lock()
 				answers[id] = a
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -15,7 +15,7 @@
 	exitNotRun = 2
 )
 
-// errNotRun marks a case that could not run.
+// notRun is the error of a case that could not run.
 type notRun struct{ err error }
 
 func (n notRun) Error() string { return "the case could not run: " + n.err.Error() }
