--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -46,6 +46,7 @@
 	store    *standin.Store
 	storeAt  string
 	gateways []*gateway
+	limits   route.Limits
 	mu       sync.Mutex
 	servers  []*server
 	runs     *runLog
@@ -60,7 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: r, dir: dir, store: standin.NewStore(), runs: &runLog{record: r}}
+	f := &fleet{
+		record: r, dir: dir, store: standin.NewStore(), runs: &runLog{record: r},
+		limits: route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 18, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -147,7 +151,7 @@
 func (f *fleet) putConfig(version int64, routes []route.Route, services []string) {
 	c := &route.Config{
 		Version: version, Routes: routes, Services: make(map[string]route.Service),
-		Limits: route.Limits{HeaderBytes: 16384, BodyBytes: 1 << 18, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Limits: f.limits,
 	}
 	for _, s := range services {
 		c.Services[s] = route.Service{Name: s, MaxConnections: 110}
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -83,7 +83,6 @@
 	// A request for crashPath crashes the server. onCrash is called then.
 	crashPath atomic.Value
 	onCrash   func(*server)
-	spoiler   spoiler
 }
 
 // startServer starts a server at an address; port 0 stands for any.
@@ -96,9 +95,8 @@
 		entry: route.Server{ID: id, StartUnixMs: time.Now().UnixMilli(), Service: service, Address: l.Addr().String(), DataCentre: zone, Slots: slots},
 		runs:  runs, slots: make(chan struct{}, slots),
 	}
-	s.spoiler.record = runs.record
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, ConnContext: withConn}
-	go func() { _ = s.http.Serve(spoiledListener{l}) }()
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	go func() { _ = s.http.Serve(l) }()
 	return s, nil
 }
 
@@ -165,7 +163,6 @@
 			return
 		}
 		s.runs.end(x, resultAnswered)
-		s.spoiler.mark(r, id)
 		_, _ = w.Write(answerOf(id, s.entry.Service))
 	case <-deadline:
 		s.runs.end(x, resultDeadline)
