review: a request is cut at the end of a planned stop

Cause: each change of the limits starts a further server for callers' connections, and a stop shuts them down one after the other. While the first one waits for a connection that has not been used, the later ones take requests, which nobody ends at the end of the grace period.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -22,7 +22,7 @@
 
 // cases returns whether the rule was broken, by case.
 var cases = map[string]func(r *recorder, trouble bool) (broken bool, err error){
-	"leave": playLeave, "crash": playCrash,
+	"leave": playLeave, "stop": playStop, "crash": playCrash,
 }
 
 func main() {
