review: the platform's names come from its package

Done: headers from platform.Headers, settings from the project's stand-in, the name of the variable from run.sh.

--- a/review/_kit2/client.go
+++ b/review/_kit2/client.go
@@ -23,12 +23,12 @@
 	if a.err != nil {
 		return "no answer: " + a.err.Error()
 	}
-	return fmt.Sprintf("%d, seal %q, %d bytes", a.status, a.header.Get("X-Response-Seal"), len(a.body))
+	return fmt.Sprintf("%d, seal %q, %d bytes", a.status, a.header.Get(headers.Signature), len(a.body))
 }
 
 func requestBytes(method, path, id string, deadline time.Duration, body []byte) []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, requestHost, id, deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, requestHost, headers.RequestID, id, headers.DeadlineMs, deadline.Milliseconds())
 	if body != nil {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
--- a/review/_kit2/fleet.go
+++ b/review/_kit2/fleet.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/figmast/figmast/platform"
 	"github.com/figmast/figmast/platform/standin"
 	"github.com/figmast/figmast/route"
 )
@@ -21,22 +22,27 @@
 // Figures of a small deployment, as the users' pages give them.
 const (
 	graceS        = 6
-	drainMs       = 3000
 	configApplyMs = 3000
 	heartbeatMs   = 1200
 	contactMs     = 4000
 	contact       = contactMs * time.Millisecond
 	requestHost   = "hufi27.example"
+
+	// settingsVariable holds the name of the variable that tells a host where its
+	// settings are.
+	settingsVariable = "REVIEW_SETTINGS_VARIABLE"
 )
 
+// headers holds the names of the users' headers.
+var headers = platform.Headers()
+
 // gateway is one process of the program under test.
 type gateway struct {
-	name, address, zone string
-	dir                 string
-	front, ready        string
-	cmd                 *exec.Cmd
-	exited              chan struct{}
-	log                 *os.File
+	name, dir    string
+	front, ready string
+	cmd          *exec.Cmd
+	exited       chan struct{}
+	log          *os.File
 }
 
 // fleet holds the store, the backend servers and the hosts of one case.
@@ -162,35 +168,18 @@
 
 // addGateways starts n hosts, each in a zone of its own.
 func (f *fleet) addGateways(n int) error {
-	regions := make(map[string]string)
 	var seeds []string
 	for i := range n {
-		regions[zones[i]] = "gulf-south"
-		seeds = append(seeds, hostPort(f.base+strconv.Itoa(i+1), f.ports[2]))
+		seeds = append(seeds, f.base+strconv.Itoa(i+1))
 	}
 	for i := range n {
-		address := f.base + strconv.Itoa(i+1)
-		g := &gateway{
-			name: "front-" + zones[i] + "-1", address: address, zone: zones[i], dir: f.dir,
-			front: hostPort(address, f.ports[0]), ready: hostPort(address, f.ports[1]),
+		g := &gateway{name: "front-" + zones[i] + "-1", dir: f.dir, front: hostPort(seeds[i], f.ports[0]), ready: hostPort(seeds[i], f.ports[1])}
+		h := standin.Host{
+			Name: g.name, Address: seeds[i], DataCentre: zones[i], Seeds: seeds, Store: f.storeAt,
+			CallerPort: f.ports[0], ReadyPort: f.ports[1], ControlPort: f.ports[2], FirstInternalPort: f.ports[3], LastInternalPort: f.ports[5],
+			Grace: graceS * time.Second, ApplyWithin: configApplyMs * time.Millisecond,
 		}
-		settings := map[string]any{
-			"node_name": g.name, "role": "gateway", "machine_class": "front", "serves": []string{"front", "control"},
-			"bind_ip": address, "zone": g.zone, "region": "gulf-south", "zones": regions,
-			"listen":         map[string]string{"front": g.front, "ready": g.ready, "control": hostPort(address, f.ports[2])},
-			"internal_ports": []int{f.ports[3], f.ports[5]}, "seed_nodes": seeds, "bootstrap": true, "in_tolerance": false,
-			"limits":   map[string]any{"cpu_share": 0.4, "cpu_cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
-			"data_dir": nil, "discovery_source": "platform", "entry_point": "vip", "heartbeat_ms": heartbeatMs,
-			"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "scatter", "places", "platform"},
-			"fault_tolerance": map[string]int{"machine_losses": 2, "zones": 1, "region_losses": 0},
-			"bounds": map[string]any{
-				"seed_lag_s": 3, "addr_reuse_s": 2, "contact_ms": contactMs, "ack_ms": 5000, "catch_up_s": 4, "drain_ms": drainMs, "grace_s": graceS,
-				"loss_slack_ms": 200, "config_apply_ms": configApplyMs, "downgrade_ms": 250, "max_skew_ms": 12000, "retry_budget_ratio": 0.2,
-				"budget_window_s": 10, "retry_slack": 58, "cold_overage": 1.5, "cold_slack": 5, "evacuate_ms": 5000, "recover_s": 12,
-			},
-			"platform": map[string]any{"address": f.storeAt, "form": "read", "reads_per_s": 2000, "history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
-		}
-		b, err := json.Marshal(settings)
+		b, err := completeSettings(h.Settings())
 		if err != nil {
 			return err
 		}
@@ -213,6 +202,25 @@
 	return nil
 }
 
+// completeSettings adds what the stand-in's settings leave out: all data centres, and
+// the figures of the deployment that the cases are like.
+func completeSettings(b []byte) ([]byte, error) {
+	var s map[string]any
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, err
+	}
+	regions := make(map[string]string)
+	for _, zone := range zones {
+		regions[zone] = "gulf-south"
+	}
+	s["zones"], s["region"] = regions, "gulf-south"
+	bounds := s["bounds"].(map[string]any)
+	for name, value := range map[string]int{"contact_ms": contactMs, "evacuate_ms": 5000, "retry_slack": 58, "loss_slack_ms": 200, "recover_s": 12} {
+		bounds[name] = value
+	}
+	return json.Marshal(s)
+}
+
 func (g *gateway) settingsPath() string { return filepath.Join(g.dir, g.name+".json") }
 
 // start runs the command of the deploy file.
@@ -224,7 +232,7 @@
 		}
 	}
 	cmd := exec.Command("target/figmast-gateway")
-	cmd.Env = []string{"FIGMAST_BOOT=" + g.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + g.dir, "LANG=C"}
+	cmd.Env = []string{os.Getenv(settingsVariable) + "=" + g.settingsPath(), "PATH=" + os.Getenv("PATH"), "HOME=" + g.dir, "LANG=C"}
 	cmd.Stdout, cmd.Stderr = g.log, g.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/_kit2/leave.go
+++ b/review/_kit2/leave.go
@@ -86,7 +86,7 @@
 // isAnswered reports whether a server has given this success.
 func (f *fleet) isAnswered(id string, a answer) bool {
 	for _, x := range f.runs.of(id) {
-		if x.result == resultAnswered && a.status == http.StatusOK && a.header.Get("X-Response-Seal") == sealOf(id, x.server) &&
+		if x.result == resultAnswered && a.status == http.StatusOK && a.header.Get(headers.Signature) == sealOf(id, x.server) &&
 			string(a.body) == string(answerOf(id, x.service)) {
 			return true
 		}
--- a/review/_kit2/server.go
+++ b/review/_kit2/server.go
@@ -43,7 +43,7 @@
 	l.mu.Lock()
 	l.runs = append(l.runs, x)
 	l.mu.Unlock()
-	l.record.add("server %s runs %s (%s %s, deadline in %s ms)", e.ID, id, r.Method, r.RequestURI, r.Header.Get("X-Deadline-Ms"))
+	l.record.add("server %s runs %s (%s %s, deadline in %s ms)", e.ID, id, r.Method, r.RequestURI, r.Header.Get(headers.DeadlineMs))
 	return x
 }
 
@@ -122,12 +122,12 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(headers.RequestID)
 	reject := func(status int) {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(headers.NotRun, "1")
 		w.WriteHeader(status)
 	}
-	switch expected := r.Header.Get("X-Expected-Instance"); {
+	switch expected := r.Header.Get(headers.ExpectServer); {
 	case expected != "" && expected != s.entry.ID:
 		reject(http.StatusMisdirectedRequest)
 		return
@@ -135,9 +135,9 @@
 		reject(http.StatusBadRequest)
 		return
 	}
-	w.Header().Set("X-Request-Id", id)
+	w.Header().Set(headers.RequestID, id)
 	left := time.Hour
-	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(r.Header.Get(headers.DeadlineMs), 64); err == nil {
 		left = time.Duration(ms * float64(time.Millisecond))
 	}
 	deadline := time.After(left)
@@ -153,7 +153,7 @@
 	x := s.runs.begin(id, s.entry, r)
 	work := 20
 	_, _ = fmt.Sscanf(r.URL.Path, "/w/%d/", &work)
-	w.Header().Set("X-Response-Seal", sealOf(id, s.entry.ID))
+	w.Header().Set(headers.Signature, sealOf(id, s.entry.ID))
 	select {
 	case <-time.After(time.Duration(work) * time.Millisecond):
 		if s.crashPath.Load() == r.RequestURI {
