gateway: shut down all servers at once, so that no late request is cut

What callers saw: a request on a kept connection was passed on to a backend server and its connection ended without an answer as the host exited after a planned stop.

Cause: each change of the limits starts a further http.Server, and a stop shut them down one after the other. While one waited for an unused connection, the others took requests. Requests in progress were given their final answer only if there were some when the host began to close. The server for other hosts' requests was closed, not shut down, which could cut answers that had just been given.

Change: all servers are shut down at the same time; requests in progress at the end of the grace period get their final answer then. The engine refuses later ones already, so none can come after that. Connections that end with the process are no error of the stop.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -96,19 +95,17 @@
 	}
 }
 
-// shutdown stops accepting connections, closes idle ones and waits for the
-// others until ctx is done.
-func (c *callerListener) shutdown(ctx context.Context) error {
+// stopAccepting closes the listener and returns the servers of its connections.
+func (c *callerListener) stopAccepting() []*http.Server {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.closed = true
-	all := c.servers
-	c.mu.Unlock()
 	_ = c.listener.Close()
-	var errs []error
-	for _, s := range all {
-		errs = append(errs, s.Shutdown(ctx))
+	servers := make([]*http.Server, len(c.servers))
+	for i, s := range c.servers {
+		servers[i] = s.Server
 	}
-	return errors.Join(errs...)
+	return servers
 }
 
 // Accept implements net.Listener.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,10 +43,13 @@
 	handler  *callerHandler
 	feed     *feed.Feed
 	callers  *callerListener
-	servers  []*http.Server
-	started  time.Time
-	stopped  chan struct{}
-	shutdown fx.Shutdowner
+	// servers holds all other servers, handoverServer among them; it is nil if no
+	// requests of other hosts are taken.
+	servers        []*http.Server
+	handoverServer *http.Server
+	started        time.Time
+	stopped        chan struct{}
+	shutdown       fx.Shutdowner
 }
 
 // New returns the fx application of a host.
@@ -144,7 +147,8 @@
 	}
 	if g.settings.HandoverPort > 0 {
 		address := net.JoinHostPort(g.settings.Address, strconv.Itoa(g.settings.HandoverPort))
-		if err := g.serve(address, g.handler.handoverServer()); err != nil {
+		g.handoverServer = g.handler.handoverServer()
+		if err := g.serve(address, g.handoverServer); err != nil {
 			return err
 		}
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -43,19 +44,49 @@
 			break
 		}
 	}
-	if left := g.handler.active.Load(); left > 0 {
-		g.log.Warn("requests ended by shutdown", "requests", left)
+	closed := g.shutdownServers(cutoff.Add(exitMargin / 2))
+	select {
+	case <-closed:
+	case <-time.After(time.Until(cutoff)):
+		// Connections that have not been used yet, and requests in progress, keep
+		// their servers open until now.
+		g.log.Warn("requests ended by shutdown", "requests", g.handler.active.Load())
 		g.runner.finishAll()
+		<-closed
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), cutoff.Add(exitMargin/2))
-	defer cancel()
-	err := g.callers.shutdown(ctx)
 	close(g.stopped)
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
 	g.log.Info("host stopped", "requests_cut", g.handler.active.Load(), "after_ms", time.Since(began).Milliseconds())
-	return err
+	return nil
+}
+
+// shutdownServers shuts down all servers whose requests may be in progress, at the
+// same time: one that waited for another would go on taking requests. The returned
+// channel is closed when they are shut down or the deadline has passed; the
+// connections left then have no complete request.
+func (g *Gateway) shutdownServers(deadline time.Time) <-chan struct{} {
+	servers := g.callers.stopAccepting()
+	if g.handoverServer != nil {
+		servers = append(servers, g.handoverServer)
+	}
+	var open sync.WaitGroup
+	for _, s := range servers {
+		open.Go(func() {
+			ctx, cancel := context.WithDeadline(context.Background(), deadline)
+			defer cancel()
+			if err := s.Shutdown(ctx); err != nil {
+				g.log.Warn("connections closed by shutdown", "err", err)
+			}
+		})
+	}
+	closed := make(chan struct{})
+	go func() {
+		open.Wait()
+		close(closed)
+	}()
+	return closed
 }
 
 // runReload reloads the settings on SIGHUP and periodically, as they may change
