news: a watch answer confirms when it was asked for, not when it arrives

What callers saw: requests went to a leaving backend server up to 0.4 s after its bound, where a cut had held up the store's answer before the one with the leave.

Cause: an answer with changes that arrived within the watch's timeout counted as proof that the store held nothing newer at its arrival; other hosts took that age over, and the drain of a server whose leave came next was counted from it.

Change: an answer confirms the time at which it was asked for; only an empty one that arrives after the end of its wait confirms that end. The watch after changes waits shorter, so that replicas do not look older than before for longer than the pause after changes. Ages passed on are rounded up. Two rows of TestLateWatchConfirmsOnlyItsAnswer demanded the fault (age 0 for a late answer) and now demand the time since the question.

--- a/forward/hostfleet_test.go
+++ b/forward/hostfleet_test.go
@@ -367,7 +367,7 @@
 	}
 	if len(items) > 0 || f.now.Sub(h.lastWatch) >= h.state.WatchWait() {
 		h.lastWatch = f.now
-		h.state.ApplyWatch(f.now, f.now, h.state.Position(), news.Answer{Items: items, Position: news.Position{Revision: f.version}})
+		h.state.ApplyWatch(f.now, news.Watch{From: h.state.Position(), AskedAt: f.now}, news.Answer{Items: items, Position: news.Position{Revision: f.version}})
 	}
 }
 
--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -215,15 +215,15 @@
 	})
 }
 
-func (f *Feed) startWatch(asked time.Time) {
-	wait, from := f.opts.State.WatchWait(), f.opts.State.Position()
-	f.runRead(f.opts.State.WatchTimeout(), func(ctx context.Context) {
-		answer, err := f.opts.Store.Watch(ctx, from.Revision, wait)
+func (f *Feed) startWatch(now time.Time) {
+	w := f.opts.State.NextWatch(now)
+	f.runRead(w.Timeout(), func(ctx context.Context) {
+		answer, err := f.opts.Store.Watch(ctx, w.From.Revision, w.Wait)
 		f.post(func(now time.Time) {
 			if !f.finishRead(now, "watch", err) {
 				return
 			}
-			f.opts.State.ApplyWatch(now, asked, from, answer)
+			f.opts.State.ApplyWatch(now, w, answer)
 			if len(answer.Items) > 0 {
 				f.nextRead = now.Add(settleDelay)
 			}
--- a/news/leaving_test.go
+++ b/news/leaving_test.go
@@ -39,7 +39,7 @@
 	first := now
 
 	now = now.Add(700 * time.Millisecond)
-	s.ApplyWatch(now, now, s.Position(), Answer{Items: []Item{{Key: "server/x", Value: []byte("-5"), Revision: 5}, {Key: "out/b", Revision: 6, Deleted: true}}, Position: Position{Revision: 6}})
+	s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: now}, Answer{Items: []Item{{Key: "server/x", Value: []byte("-5"), Revision: 5}, {Key: "out/b", Revision: 6, Deleted: true}}, Position: Position{Revision: 6}})
 	is.Equal(since("x"), first)
 	second := now
 
@@ -58,7 +58,7 @@
 	is.Equal(since("x"), second) // another incarnation
 	is.Equal(since("z"), second)
 	is.Equal(evacuatedSince(), second)
-	s.ApplyWatch(now, now, s.Position(), Answer{Items: []Item{{Key: "server/y", Value: []byte("-5"), Revision: 13}}, Position: Position{Revision: 13}})
+	s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: now}, Answer{Items: []Item{{Key: "server/y", Value: []byte("-5"), Revision: 13}}, Position: Position{Revision: 13}})
 	is.True(since("y").IsZero()) // it had been removed before
 }
 
--- a/news/limits_test.go
+++ b/news/limits_test.go
@@ -69,7 +69,7 @@
 	now = now.Add(10 * limitTTL)
 	_, _ = s.Topology(now)
 	is.Equal(s.LimitReports()[key].Limit, route.LimitedTo(9)) // the server is still there
-	s.ApplyWatch(now, now, s.Position(), Answer{Items: []Item{{Key: "server/x", Revision: 2, Deleted: true}}, Position: Position{Revision: 2}})
+	s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: now}, Answer{Items: []Item{{Key: "server/x", Revision: 2, Deleted: true}}, Position: Position{Revision: 2}})
 	now = now.Add(reregisterWithin)
 	_, _ = s.Topology(now)
 	_, _ = s.Topology(now.Add(limitTTL + time.Second))
--- a/news/reading.go
+++ b/news/reading.go
@@ -20,7 +20,8 @@
 	// watchDivisor sets how long a watch waits; its answer confirms that there
 	// is no change. This wait, the poll interval of a leader and that of a
 	// host behind it come to nine twentieths of ApplyWithin, less than
-	// silenceDivisor allows.
+	// silenceDivisor allows; the pause after changes is within what
+	// spreadDivisor adds for hosts that do not read.
 	watchDivisor = 4
 	// silenceDivisor sets after how long without updates a host reads the store
 	// itself, and spreadDivisor how much longer each host waits than the one
@@ -37,25 +38,41 @@
 // the 4 ms that the platform specifies for an answer.
 const watchSlack = 400 * time.Millisecond
 
-// WatchWait returns how long a watch waits for a first change.
-func (s *State) WatchWait() time.Duration { return s.opts.ApplyWithin / watchDivisor }
+// minWatchWait is the shortest wait of a watch: it confirms the replica at once.
+const minWatchWait = 10 * time.Millisecond
+
+// Watch is a watch of the store that this host has started.
+type Watch struct {
+	// From is the position that the changes follow.
+	From    Position
+	AskedAt time.Time
+	// Wait is how long the store waits for a first change.
+	Wait time.Duration
+}
 
-// WatchTimeout returns the timeout of a watch request.
-func (s *State) WatchTimeout() time.Duration { return s.WatchWait() + watchSlack }
+// Timeout returns the timeout of the watch request.
+func (w Watch) Timeout() time.Duration { return w.Wait + watchSlack }
 
-// watchConfirmedUntil returns the time until which a watch answer that is
-// processed at now is known to be current. The store answers when something
-// changes or when the wait is over, but a host that was suspended processes the
-// answer later.
-func (s *State) watchConfirmedUntil(now, asked time.Time, changed bool) time.Time {
-	end := asked.Add(s.WatchWait())
-	switch {
-	case now.Before(end), changed && now.Sub(asked) <= s.WatchTimeout():
-		return now
-	case changed:
-		return asked
+// confirmedUntil returns the time until which the answer to the watch is known to
+// be current, whenever it arrives. The store answers at some time after it was
+// asked: at the first change, or else when the wait is over.
+func (w Watch) confirmedUntil(now time.Time, changed bool) time.Time {
+	if end := w.AskedAt.Add(w.Wait); !changed && !now.Before(end) {
+		return end
 	}
-	return end
+	return w.AskedAt
+}
+
+// WatchWait returns how long a watch waits for a first change, at most.
+func (s *State) WatchWait() time.Duration { return s.opts.ApplyWithin / watchDivisor }
+
+// NextWatch returns the watch to start at now. An answer with changes confirms the
+// replica only as of when the store was asked; the watch after it waits so much
+// shorter that the age of the replica stays below WatchWait and the pause between
+// the two.
+func (s *State) NextWatch(now time.Time) Watch {
+	left := s.confirmedAt.Add(s.WatchWait()).Sub(now)
+	return Watch{From: s.Position(), AskedAt: now, Wait: min(max(left, minWatchWait), s.WatchWait())}
 }
 
 // PollInterval returns the interval between two polls of an upstream.
--- a/news/restore_test.go
+++ b/news/restore_test.go
@@ -317,13 +317,13 @@
 	now := time.Unix(1000, 0)
 	s := newRestoreState(now)
 	from := s.Position()
-	s.ApplyWatch(now, now, from, Answer{Items: []Item{{Key: "config", Value: []byte("9"), Revision: 6}}, Position: Position{3, 6}})
+	s.ApplyWatch(now, Watch{From: from, AskedAt: now}, Answer{Items: []Item{{Key: "config", Value: []byte("9"), Revision: 6}}, Position: Position{3, 6}})
 	is.Equal(s.Position(), Position{2, 5})
 	s.members.hasJoined = true
 	is.Equal(s.NextRead(now.Add(testApply)), ReadRange)
 	s.ApplyUpdate(now, now, &Update{Era: 3, Revision: 4, Full: true, Items: []Item{{Key: "config", Value: []byte("3"), Revision: 4}}})
 	is.Equal(s.Position(), Position{3, 4})
-	s.ApplyWatch(now, now, from, Answer{Items: []Item{{Key: "server/x", Value: []byte("5"), Revision: 6}}, Position: Position{3, 6}})
+	s.ApplyWatch(now, Watch{From: from, AskedAt: now}, Answer{Items: []Item{{Key: "server/x", Value: []byte("5"), Revision: 6}}, Position: Position{3, 6}})
 	is.Equal(s.Position(), Position{3, 4}) // the watch began at a revision of era 2
 }
 
--- a/news/state.go
+++ b/news/state.go
@@ -173,20 +173,19 @@
 	s.confirm(now, asked)
 }
 
-// ApplyWatch applies the answer to a watch from a position that was requested at
-// asked and is processed at now.
-func (s *State) ApplyWatch(now, asked time.Time, from Position, a Answer) {
-	if !s.admit(asked, &a) {
+// ApplyWatch applies the answer to a watch, which is processed at now.
+func (s *State) ApplyWatch(now time.Time, w Watch, a Answer) {
+	if !s.admit(w.AskedAt, &a) {
 		return
 	}
-	if a.Era != from.Era || from.Era != s.era {
+	if a.Era != w.From.Era || w.From.Era != s.era {
 		// The changes follow a revision of another era.
 		s.needsRange = s.needsRange || a.Era > s.era
-		s.opts.Log("watch answer of another era passed over", "era", a.Era, "watched_era", from.Era, "known_era", s.era, "revision", a.Revision)
+		s.opts.Log("watch answer of another era passed over", "era", a.Era, "watched_era", w.From.Era, "known_era", s.era, "revision", a.Revision)
 		return
 	}
 	s.saveConfirmedBefore()
-	s.confirm(now, s.watchConfirmedUntil(now, asked, len(a.Items) > 0))
+	s.confirm(now, w.confirmedUntil(now, len(a.Items) > 0))
 	s.applyDelta(now, a.Items, a.Revision)
 }
 
@@ -311,7 +310,7 @@
 		return u
 	}
 	if age, ok := s.Age(now); ok {
-		u.AgeMs = age.Milliseconds()
+		u.AgeMs = ceilMs(age)
 	}
 	u.Full = from.Era != 0 && from.Era != at.Era || from.Revision < s.compactRevision
 	for _, e := range s.entries {
@@ -322,6 +321,10 @@
 	return u
 }
 
+// ceilMs returns a duration in milliseconds, rounded up: an age does not become
+// younger by being passed on.
+func ceilMs(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
 // BuildPoll returns the next poll to send to a host; last is that host's last
 // answer, or nil.
 func (s *State) BuildPoll(now time.Time, nonce uint64, address string, last *Update, push bool) *Poll {
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -117,6 +117,8 @@
 	seeds []string
 	// isCut reports whether two hosts cannot reach each other.
 	isCut func(a, b string) bool
+	// isHeldUp reports whether a cut holds up the store's answers to a host.
+	isHeldUp func(host string) bool
 	// usedVersion is the highest configuration version that each host has had
 	// in force.
 	usedVersion map[string]int64
@@ -129,10 +131,11 @@
 	address     string
 	last        map[string]*Update
 	polled      map[string]time.Time
-	asked       time.Time
-	watchUntil  time.Time
-	after       Position
+	watch       Watch
+	isWatching  bool
 	pausedUntil time.Time
+	// held is an answer of the store that a cut holds up.
+	held *Answer
 }
 
 const (
@@ -144,7 +147,7 @@
 func newFleet(t *testing.T, n int, seed uint64) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(1000, 0), store: newTestStore(), hosts: make(map[string]*testHost),
-		isCut: func(string, string) bool { return false }, usedVersion: make(map[string]int64),
+		isCut: func(string, string) bool { return false }, isHeldUp: func(string) bool { return false }, usedVersion: make(map[string]int64),
 	}
 	f.store.put("config", "1")
 	for i := range n {
@@ -221,7 +224,7 @@
 	if f.now.Before(h.pausedUntil) {
 		return
 	}
-	if !h.watchUntil.IsZero() {
+	if h.isWatching {
 		f.continueWatch(h)
 		return
 	}
@@ -235,29 +238,40 @@
 		h.state.ApplyRange(f.now, f.now, f.store.all(), false)
 	case ReadWatch:
 		f.store.reads++
-		h.asked, h.watchUntil, h.after = f.now, f.now.Add(h.state.WatchWait()), h.state.Position()
+		h.watch, h.isWatching = h.state.NextWatch(f.now), true
 	case ReadNothing:
 	}
 }
 
 func (f *fleet) continueWatch(h *testHost) {
 	down := f.store.isDown(h.address)
-	items := f.store.since(h.after.Revision)
-	if !down && h.after.Revision > f.store.revision {
-		h.watchUntil = time.Time{}
-		h.state.MarkHistoryGone()
-		return
+	if h.held == nil {
+		items := f.store.since(h.watch.From.Revision)
+		if !down && h.watch.From.Revision > f.store.revision {
+			h.isWatching = false
+			h.state.MarkHistoryGone()
+			return
+		}
+		if f.now.Before(h.watch.AskedAt.Add(h.watch.Wait)) && (down || len(items) == 0) {
+			return
+		}
+		h.held = &Answer{Items: items, Position: Position{f.store.era, f.store.revision}}
 	}
-	if f.now.Before(h.watchUntil) && (down || len(items) == 0) {
+	if !down && f.isHeldUp(h.address) {
+		if f.now.Sub(h.watch.AskedAt) > h.watch.Timeout() {
+			h.isWatching, h.held = false, nil
+			h.pausedUntil = f.now.Add(200 * time.Millisecond)
+		}
 		return
 	}
-	h.watchUntil = time.Time{}
+	answer := *h.held
+	h.isWatching, h.held = false, nil
 	if down {
 		h.pausedUntil = f.now.Add(time.Second)
 		return
 	}
-	h.state.ApplyWatch(f.now, h.asked, h.after, Answer{Items: items, Position: Position{f.store.era, f.store.revision}})
-	if len(items) > 0 {
+	h.state.ApplyWatch(f.now, h.watch, answer)
+	if len(answer.Items) > 0 {
 		h.pausedUntil = f.now.Add(250 * time.Millisecond)
 	}
 }
@@ -382,7 +396,7 @@
 	_, out := topology.Evacuated["b"]
 	is.True(out)
 
-	s.ApplyWatch(now, now, s.Position(), Answer{Items: []Item{
+	s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: now}, Answer{Items: []Item{
 		{Key: "config", Value: []byte("6"), Revision: 7},   // older than the one in force
 		{Key: "server/x", Value: []byte("4"), Revision: 8}, // from an earlier incarnation
 		{Key: "out/b", Revision: 9, Deleted: true},
@@ -395,7 +409,7 @@
 
 	// A full read removes entries that it does not hold, but none that are
 	// newer than the read.
-	s.ApplyWatch(now, now, s.Position(), Answer{Items: []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, Position: Position{Revision: 12}})
+	s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: now}, Answer{Items: []Item{{Key: "server/z", Value: []byte("9"), Revision: 12}}, Position: Position{Revision: 12}})
 	s.ApplyRange(now, now, Answer{Items: []Item{{Key: "config", Value: []byte("7"), Revision: 3}}, Position: Position{Revision: 20}}, false)
 	topology, _ = s.Topology(now)
 	is.Equal(len(topology.Servers), 0)
@@ -446,8 +460,8 @@
 		{"no change, in time", testApply / watchDivisor, nil, 0},
 		{"no change, with network delay", testApply/watchDivisor + 100*time.Millisecond, nil, 100 * time.Millisecond},
 		{"no change, processed after a suspension", late, nil, late - testApply/watchDivisor},
-		{"no change, sooner than requested", 10 * time.Millisecond, nil, 0},
-		{"change, in time", 300 * time.Millisecond, change, 0},
+		{"no change, sooner than requested", 10 * time.Millisecond, nil, 10 * time.Millisecond},
+		{"change, in time", 300 * time.Millisecond, change, 300 * time.Millisecond},
 		{"change, processed after a suspension", late, change, late},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -456,7 +470,7 @@
 			s := NewState(asked, Options{Address: "10.0.0.1", Decoder: testDecoder{}, ApplyWithin: testApply})
 			s.ApplyRange(asked, asked.Add(-testApply), Answer{Items: []Item{{Key: "config", Value: []byte("1"), Revision: 1}}, Position: Position{Revision: 1}}, false)
 			now := asked.Add(c.took)
-			s.ApplyWatch(now, asked, s.Position(), Answer{Items: c.items, Position: Position{Revision: int64(1 + len(c.items))}})
+			s.ApplyWatch(now, Watch{From: s.Position(), AskedAt: asked, Wait: s.WatchWait()}, Answer{Items: c.items, Position: Position{Revision: int64(1 + len(c.items))}})
 			age, known := s.Age(now)
 			is.True(known)
 			is.Equal(age, c.age)
@@ -464,3 +478,70 @@
 		})
 	}
 }
+
+// storeWrite is when the store accepted a write, and its revision.
+type storeWrite struct {
+	revision int64
+	at       time.Time
+}
+
+// TestAgeHoldsWhileAnswersAreHeldUp guards against counting the age of a replica
+// from when an answer of the store arrives. No host may claim to be current as of a
+// time at which the store already held a newer write, or know a drain to have begun
+// after it was written.
+func TestAgeHoldsWhileAnswersAreHeldUp(t *testing.T) {
+	for seed := range uint64(24) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 2))
+			f := newFleet(t, 9, seed)
+			var writes []storeWrite
+			drains := make(map[string]time.Time)
+			put := func(key, value string) {
+				f.store.put(key, value)
+				writes = append(writes, storeWrite{f.store.revision, f.now})
+			}
+			heldUntil := make(map[string]time.Time)
+			f.isHeldUp = func(host string) bool { return f.now.Before(heldUntil[host]) }
+			f.run(4 * time.Second)
+			for i := range 40 {
+				id := strconv.Itoa(i)
+				put("server/"+id, "5")
+				f.run(time.Duration(random.IntN(1500)) * time.Millisecond)
+				for _, address := range f.order {
+					if random.IntN(2) == 0 {
+						heldUntil[address] = f.now.Add(time.Duration(random.IntN(1500)) * time.Millisecond)
+					}
+				}
+				f.run(time.Duration(random.IntN(200)) * time.Millisecond)
+				put("config", id)
+				f.run(time.Duration(random.IntN(200)) * time.Millisecond)
+				drains[id] = f.now
+				put("server/"+id, "-5")
+				for end := f.now.Add(1500 * time.Millisecond); f.now.Before(end); {
+					f.run(testStep)
+					f.checkAges(writes, drains)
+				}
+			}
+		})
+	}
+}
+
+// checkAges checks what each host claims of the age of its replica.
+func (f *fleet) checkAges(writes []storeWrite, drains map[string]time.Time) {
+	f.t.Helper()
+	for address, h := range f.hosts {
+		age, known := h.state.Age(f.now)
+		claimed := f.now.Add(-age)
+		for _, w := range writes {
+			if known && w.at.Before(claimed) && w.revision > h.state.Revision() {
+				f.t.Fatalf("%s claims to be current as of %v after revision %d was written, and is at %d", address, claimed.Sub(w.at), w.revision, h.state.Revision())
+			}
+		}
+		topology, _ := h.state.Topology(f.now)
+		for _, v := range topology.Servers {
+			if at, ok := drains[v.ID]; ok && v.DrainingSince.After(at) {
+				f.t.Fatalf("%s counts the drain of %s from %v after it was written", address, v.ID, v.DrainingSince.Sub(at))
+			}
+		}
+	}
+}
