news: a page of changes does not confirm that there are no more

The drain of a server whose leave came on the next page was counted from the first page.

With pages of 2 and 4 changes, TestAgeHoldsWhileAnswersAreHeldUp fails without this change; TestServersRemovedDuringStoreOutage fails with one change a page if a partial answer does not end the outage.

--- a/news/feed/feed.go
+++ b/news/feed/feed.go
@@ -224,7 +224,7 @@
 				return
 			}
 			f.opts.State.ApplyWatch(now, w, answer)
-			if len(answer.Items) > 0 {
+			if len(answer.Items) > 0 && !answer.MayBePartial {
 				f.nextRead = now.Add(settleDelay)
 			}
 		})
--- a/news/news.go
+++ b/news/news.go
@@ -37,6 +37,9 @@
 type Answer struct {
 	Position
 	Items []Item
+	// MayBePartial is set if the answer to a watch holds so many changes that it
+	// may end before the latest one.
+	MayBePartial bool
 	// InvalidEra is the era that the store named, in quotes, if it is not a
 	// number.
 	InvalidEra string
--- a/news/state.go
+++ b/news/state.go
@@ -185,7 +185,11 @@
 		return
 	}
 	s.saveConfirmedBefore()
-	s.confirm(now, w.confirmedUntil(now, len(a.Items) > 0))
+	if a.MayBePartial {
+		s.markRecovered(now, w.AskedAt)
+	} else {
+		s.confirm(now, w.confirmedUntil(now, len(a.Items) > 0))
+	}
 	s.applyDelta(now, a.Items, a.Revision)
 }
 
@@ -240,11 +244,17 @@
 	if !at.After(s.confirmedAt) {
 		return
 	}
+	s.markRecovered(now, at)
+	s.confirmedAt = at
+}
+
+// markRecovered records the end of an outage of the store if there was one before
+// an answer that was given at that time.
+func (s *State) markRecovered(now, at time.Time) {
 	if !s.confirmedAt.IsZero() && at.Sub(s.confirmedAt) > outageHeartbeats*s.opts.Heartbeat {
 		s.recoveredAt = now
 		s.opts.Log("store reachable again", "silent_ms", at.Sub(s.confirmedAt).Milliseconds())
 	}
-	s.confirmedAt = at
 }
 
 // Topology returns the current topology of the deployment, and whether it has
--- a/news/state_test.go
+++ b/news/state_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -54,6 +55,8 @@
 	history []Item
 	reads   int
 	isDown  func(host string) bool
+	// pageSize bounds the changes in the answer to a watch; 0 means no bound.
+	pageSize int
 }
 
 func newTestStore() *testStore {
@@ -97,14 +100,20 @@
 	return a
 }
 
-func (s *testStore) since(after int64) []Item {
-	var out []Item
+// since returns the changes after a revision, up to the page size.
+func (s *testStore) since(after int64) Answer {
+	a := Answer{Position: Position{s.era, s.revision}}
 	for _, it := range s.items {
 		if it.Revision > after {
-			out = append(out, it)
+			a.Items = append(a.Items, it)
 		}
 	}
-	return out
+	slices.SortFunc(a.Items, func(x, y Item) int { return int(x.Revision - y.Revision) })
+	if s.pageSize > 0 && len(a.Items) >= s.pageSize {
+		a.Items, a.MayBePartial = a.Items[:s.pageSize], true
+		a.Revision = a.Items[s.pageSize-1].Revision
+	}
+	return a
 }
 
 // fleet runs the States of many hosts in virtual time. A poll and its answer
@@ -246,16 +255,16 @@
 func (f *fleet) continueWatch(h *testHost) {
 	down := f.store.isDown(h.address)
 	if h.held == nil {
-		items := f.store.since(h.watch.From.Revision)
+		answer := f.store.since(h.watch.From.Revision)
 		if !down && h.watch.From.Revision > f.store.revision {
 			h.isWatching = false
 			h.state.MarkHistoryGone()
 			return
 		}
-		if f.now.Before(h.watch.AskedAt.Add(h.watch.Wait)) && (down || len(items) == 0) {
+		if f.now.Before(h.watch.AskedAt.Add(h.watch.Wait)) && (down || len(answer.Items) == 0) {
 			return
 		}
-		h.held = &Answer{Items: items, Position: Position{f.store.era, f.store.revision}}
+		h.held = &answer
 	}
 	if !down && f.isHeldUp(h.address) {
 		if f.now.Sub(h.watch.AskedAt) > h.watch.Timeout() {
@@ -271,7 +280,7 @@
 		return
 	}
 	h.state.ApplyWatch(f.now, h.watch, answer)
-	if len(answer.Items) > 0 {
+	if len(answer.Items) > 0 && !answer.MayBePartial {
 		h.pausedUntil = f.now.Add(250 * time.Millisecond)
 	}
 }
@@ -353,32 +362,38 @@
 }
 
 // TestServersRemovedDuringStoreOutage checks that servers whose entries expired
-// during an outage of the store are kept until they can register again.
+// during an outage of the store are kept until they can register again, also if
+// the changes come in several answers.
 func TestServersRemovedDuringStoreOutage(t *testing.T) {
-	is := is.New(t)
-	f := newFleet(t, 3, 1)
-	for _, id := range []string{"x", "y"} {
-		f.store.put("server/"+id, "5")
-	}
-	f.run(4 * time.Second)
-	count := func() int {
-		topology, _ := f.hosts[f.seeds[0]].state.Topology(f.now)
-		return len(topology.Servers)
+	for _, pageSize := range []int{0, 1} {
+		t.Run(fmt.Sprintf("page size %d", pageSize), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 3, 1)
+			f.store.pageSize = pageSize
+			for _, id := range []string{"x", "y"} {
+				f.store.put("server/"+id, "5")
+			}
+			f.run(4 * time.Second)
+			count := func() int {
+				topology, _ := f.hosts[f.seeds[0]].state.Topology(f.now)
+				return len(topology.Servers)
+			}
+			is.Equal(count(), 2)
+			f.store.isDown = func(string) bool { return true }
+			f.run(5 * time.Second)
+			f.store.remove("server/x")
+			f.store.remove("server/y")
+			f.store.isDown = func(string) bool { return false }
+			f.run(1500 * time.Millisecond)
+			is.Equal(count(), 2)
+			f.store.put("server/y", "5")
+			f.run(4 * time.Second)
+			is.Equal(count(), 1) // x has not registered again
+			f.store.remove("server/y")
+			f.run(time.Second)
+			is.Equal(count(), 0) // there was no outage: removed at once
+		})
 	}
-	is.Equal(count(), 2)
-	f.store.isDown = func(string) bool { return true }
-	f.run(5 * time.Second)
-	f.store.remove("server/x")
-	f.store.remove("server/y")
-	f.store.isDown = func(string) bool { return false }
-	f.run(1500 * time.Millisecond)
-	is.Equal(count(), 2)
-	f.store.put("server/y", "5")
-	f.run(4 * time.Second)
-	is.Equal(count(), 1) // x has not registered again
-	f.store.remove("server/y")
-	f.run(time.Second)
-	is.Equal(count(), 0) // there was no outage: removed at once
 }
 
 func TestEntries(t *testing.T) {
@@ -486,7 +501,8 @@
 }
 
 // TestAgeHoldsWhileAnswersAreHeldUp guards against counting the age of a replica
-// from when an answer of the store arrives. No host may claim to be current as of a
+// from when an answer of the store arrives, and against taking a page of changes
+// for all of them. No host may claim to be current as of a
 // time at which the store already held a newer write, or know a drain to have begun
 // after it was written.
 func TestAgeHoldsWhileAnswersAreHeldUp(t *testing.T) {
@@ -494,6 +510,7 @@
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 2))
 			f := newFleet(t, 9, seed)
+			f.store.pageSize = []int{0, 2, 4}[seed%3]
 			var writes []storeWrite
 			drains := make(map[string]time.Time)
 			put := func(key, value string) {
@@ -509,15 +526,18 @@
 				f.run(time.Duration(random.IntN(1500)) * time.Millisecond)
 				for _, address := range f.order {
 					if random.IntN(2) == 0 {
-						heldUntil[address] = f.now.Add(time.Duration(random.IntN(1500)) * time.Millisecond)
+						heldUntil[address] = f.now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)
 					}
 				}
 				f.run(time.Duration(random.IntN(200)) * time.Millisecond)
 				put("config", id)
+				for j := range random.IntN(8) {
+					put(fmt.Sprintf("server/%d-%d", i, j), "5")
+				}
 				f.run(time.Duration(random.IntN(200)) * time.Millisecond)
 				drains[id] = f.now
 				put("server/"+id, "-5")
-				for end := f.now.Add(1500 * time.Millisecond); f.now.Before(end); {
+				for end := f.now.Add(3 * time.Second); f.now.Before(end); {
 					f.run(testStep)
 					f.checkAges(writes, drains)
 				}
