gateway: write the last log lines before the exit

Close could not be called, as a line by a request that outlasts the host would have panicked.

Change: main closes the queue, which waits up to 200 ms for the reader; later lines are dropped and counted.

Evidence: TestLogLines panicked before on a line after Close.

--- a/cmd/figmast-gateway/main.go
+++ b/cmd/figmast-gateway/main.go
@@ -60,6 +60,7 @@
 
 func run(s gateway.Settings, path string) int {
 	logger, lineWriter := gateway.NewLogger(os.Stdout, s.Host)
+	defer lineWriter.Close()
 	app := gateway.New(s, gateway.Platform{
 		Headers: platform.Headers(), Decoder: platform.Decoder{}, Store: platform.NewStore(s.Store),
 		Reload: func() (gateway.Settings, error) { return platform.ReadSettings(path) },
@@ -67,7 +68,6 @@
 	done := app.Wait()
 	if err := app.Start(context.Background()); err != nil {
 		logger.Error("host not started", "err", err)
-		lineWriter.Close()
 		return exitFailed
 	}
 	stopSignal := <-done
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -369,7 +369,7 @@
 func TestLogLines(t *testing.T) {
 	is := is.New(t)
 	gate := make(chan struct{})
-	q := &LineQueue{lines: make(chan []byte, 2), done: make(chan struct{})}
+	q := &LineQueue{lines: make(chan []byte, 2), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.write(writerFunc(func(b []byte) (int, error) { <-gate; return len(b), nil }))
 	for range 10 {
 		_, err := q.Write([]byte("line\n"))
@@ -378,6 +378,10 @@
 	is.True(q.Dropped() >= 7)
 	close(gate)
 	q.Close()
+	dropped := q.Dropped()
+	_, err := q.Write([]byte("line\n")) // by a request that outlasts the host
+	is.NoErr(err)
+	is.Equal(q.Dropped(), dropped+1)
 
 	var l lineLimiter
 	now := time.Unix(1000, 0)
--- a/gateway/logger.go
+++ b/gateway/logger.go
@@ -15,12 +15,14 @@
 	// and lines at once.
 	logRate  = 60
 	logBurst = 120
+	// flushTimeout bounds the wait for the last lines to be written.
+	flushTimeout = 200 * time.Millisecond
 )
 
 // NewLogger returns a logger of JSON lines that never blocks: lines that do
 // not fit the queue are dropped and counted.
 func NewLogger(w io.Writer, host string) (*log.Logger, *LineQueue) {
-	q := &LineQueue{lines: make(chan []byte, logQueueLength), done: make(chan struct{})}
+	q := &LineQueue{lines: make(chan []byte, logQueueLength), closing: make(chan struct{}), done: make(chan struct{})}
 	go q.write(w)
 	l := log.NewWithOptions(q, log.Options{
 		Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
@@ -31,6 +33,7 @@
 // LineQueue passes lines to a writer without blocking.
 type LineQueue struct {
 	lines   chan []byte
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 }
@@ -39,6 +42,12 @@
 func (q *LineQueue) Write(b []byte) (int, error) {
 	line := append([]byte(nil), b...)
 	select {
+	case <-q.closing:
+		q.dropped.Add(1)
+		return len(b), nil
+	default:
+	}
+	select {
 	case q.lines <- line:
 	default:
 		q.dropped.Add(1)
@@ -50,20 +59,39 @@
 // them failed.
 func (q *LineQueue) Dropped() int64 { return q.dropped.Load() }
 
-// Close writes the queued lines and stops the queue. Write must not be called
-// afterwards.
+// Close writes the queued lines and stops the queue; later lines are dropped. It
+// gives up when the reader does not take them in time.
 func (q *LineQueue) Close() {
-	close(q.lines)
-	<-q.done
+	close(q.closing)
+	select {
+	case <-q.done:
+	case <-time.After(flushTimeout):
+	}
 }
 
 func (q *LineQueue) write(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
+	write := func(line []byte) {
 		if _, err := w.Write(line); err != nil {
 			q.dropped.Add(1)
 		}
 	}
+	for {
+		select {
+		case line := <-q.lines:
+			write(line)
+			continue
+		case <-q.closing:
+		}
+		for {
+			select {
+			case line := <-q.lines:
+				write(line)
+			default:
+				return
+			}
+		}
+	}
 }
 
 // lineLimiter is a token bucket for log lines that counts the skipped ones.
