gateway: bound what callers' connections and bodies hold of a host

What callers saw: crowds of clients with many large bodies, most of which stop just short of their end and stay open, ended a process by its memory, or took its descriptors so that ordinary requests got no answer.

Cause: bodies were read with io.ReadAll without a bound over all connections and without a time limit; max_fds of the settings was not read; an answer whose caller does not read it was held for ever.

Change: package intake decides which connections stay open and what may be held on them; a body has until its request's deadline (408), one for which there is no memory is refused as not run (503), and what has been unfinished for the longest time gives way to others. Defaults follow from memory_mb and max_fds: docs/design/intake.md.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -24,6 +24,7 @@
 type callerListener struct {
 	listener net.Listener
 	handler  http.Handler
+	conns    *callerConns
 	log      *log.Logger
 
 	mu      sync.Mutex
@@ -43,12 +44,12 @@
 	addr  net.Addr
 }
 
-func listenCallers(address string, h http.Handler, l *log.Logger) (*callerListener, error) {
+func listenCallers(address string, h http.Handler, conns *callerConns, l *log.Logger) (*callerListener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &callerListener{listener: listener, handler: h, log: l}
+	c := &callerListener{listener: listener, handler: h, conns: conns, log: l}
 	c.setLimits(initialLimits)
 	go c.accept()
 	return c, nil
@@ -65,7 +66,7 @@
 	s := &callerServer{conns: make(chan net.Conn), done: make(chan struct{}), addr: c.listener.Addr()}
 	s.Server = &http.Server{
 		Handler: c.handler, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout + idleTimeoutSlack,
-		MaxHeaderBytes: l.HeaderBytes, DisableGeneralOptionsHandler: true,
+		MaxHeaderBytes: l.HeaderBytes, DisableGeneralOptionsHandler: true, ConnContext: connContext, ConnState: connState,
 		ErrorLog: c.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	c.current = s
@@ -84,13 +85,17 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
+		added := c.conns.add(conn)
+		if added == nil {
+			continue
+		}
 		c.mu.Lock()
 		s := c.current
 		c.mu.Unlock()
 		select {
-		case s.conns <- conn:
+		case s.conns <- added:
 		case <-s.done:
-			_ = conn.Close()
+			_ = added.Close()
 		}
 	}
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -42,6 +42,10 @@
 	reach                       atomic.Int64
 	handovers                   map[handover.Result]*metrics.Counter
 	probesReached, probesFailed *metrics.Counter
+	// connectionsEvicted counts callers' connections that were closed to make room,
+	// connectionsRefused those that were not taken. bodiesRefused counts requests
+	// whose body there was no memory for.
+	connectionsEvicted, connectionsRefused, bodiesRefused *metrics.Counter
 }
 
 func newHostMetrics() *hostMetrics {
@@ -50,6 +54,9 @@
 		m.calls[o] = m.set.NewCounter(fmt.Sprintf(`figmast_backend_calls_total{outcome=%q}`, name))
 	}
 	m.callDurations = m.set.NewHistogram("figmast_backend_call_duration_seconds")
+	m.connectionsEvicted = m.set.NewCounter(`figmast_caller_connections_closed_total{reason="evicted"}`)
+	m.connectionsRefused = m.set.NewCounter(`figmast_caller_connections_closed_total{reason="refused"}`)
+	m.bodiesRefused = m.set.NewCounter("figmast_caller_bodies_refused_total")
 	m.crashesFound = m.set.NewCounter("figmast_crashes_found_total")
 	m.checksRefused = m.set.NewCounter(`figmast_server_checks_total{result="refuses"}`)
 	m.checksAccepted = m.set.NewCounter(`figmast_server_checks_total{result="takes"}`)
@@ -126,3 +133,15 @@
 		metrics.WriteProcessMetrics(w)
 	})
 }
+
+// registerIntake registers the gauges of callers' connections.
+func (m *hostMetrics) registerIntake(c *callerConns) {
+	m.set.NewGauge("figmast_caller_connections", func() float64 {
+		open, _, _ := c.counts()
+		return float64(open)
+	})
+	m.set.NewGauge("figmast_caller_bytes_held", func() float64 {
+		_, _, held := c.counts()
+		return float64(held)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/handover"
+	"github.com/figmast/figmast/intake"
 	"github.com/figmast/figmast/internal/clock"
 	"github.com/figmast/figmast/news"
 	"github.com/figmast/figmast/news/feed"
@@ -36,6 +38,7 @@
 type Gateway struct {
 	settings Settings
 	platform Platform
+	intake   intake.Options
 	log      *log.Logger
 	lines    *LineQueue
 	metrics  *hostMetrics
@@ -88,11 +91,16 @@
 	}
 	engine := forward.NewEngine(forward.Options{Balancer: balancer, Rand: random, CPUCapacity: s.CPUCapacity, Heartbeat: s.Heartbeat, Peers: peers})
 	g.runner = newRunner(clock.Now, s, p.Headers, balancer, engine, g.metrics, l)
-	g.handler = &callerHandler{runner: g.runner, headers: p.Headers, log: l, metrics: g.metrics}
+	files, err := openFilesLimit()
+	if err != nil {
+		return nil, fmt.Errorf("limit of open files: %w", err)
+	}
+	g.intake = intakeOptions(s, files)
+	conns := newCallerConns(g.intake, clock.Now, g.metrics, l)
+	g.handler = &callerHandler{runner: g.runner, headers: p.Headers, conns: conns, log: l, metrics: g.metrics}
 	event := func(event string, fields ...any) { l.Info(event, fields...) }
 	state := news.NewState(g.started, newsOptions(s, p.Decoder, event))
 	port := strconv.Itoa(s.PeerPort)
-	var err error
 	g.feed, err = feed.New(feed.Options{
 		State: state, Store: p.Store, Listen: net.JoinHostPort(s.Address, port), Port: port,
 		Clock: clock.Now, Log: event, Exchange: g.applyView,
@@ -132,7 +140,7 @@
 // Start opens the listeners and starts to follow published changes.
 func (g *Gateway) Start(context.Context) error {
 	var err error
-	if g.callers, err = listenCallers(g.settings.CallerListen, g.handler, g.log); err != nil {
+	if g.callers, err = listenCallers(g.settings.CallerListen, g.handler, g.handler.conns, g.log); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
@@ -162,7 +170,8 @@
 	g.feed.Start()
 	go g.runReload()
 	g.log.Info("host started", "address", g.settings.Address, "data_centre", g.settings.DataCentre, "callers", g.settings.CallerListen,
-		"seeds", g.settings.Seeds, "memory_bytes", g.settings.MemoryBytes, "processor", g.settings.CPUCapacity)
+		"seeds", g.settings.Seeds, "memory_bytes", g.settings.MemoryBytes, "processor", g.settings.CPUCapacity,
+		"max_caller_connections", g.intake.MaxConnections, "max_caller_bytes", g.intake.MaxBytes)
 	return nil
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,8 @@
 	"github.com/figmast/figmast/forward"
 	"github.com/figmast/figmast/handover"
 	"github.com/figmast/figmast/http1"
+	"github.com/figmast/figmast/intake"
+	"github.com/figmast/figmast/internal/membuf"
 	"github.com/figmast/figmast/route"
 )
 
@@ -27,12 +30,16 @@
 	// noConfigRetryAfter is the Retry-After of a host that has no
 	// configuration yet; the host asks for one several times a second.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// noMemoryRetryAfter is the Retry-After of a host that has no memory for a
+	// request's body; another host may have.
+	noMemoryRetryAfter = 300 * time.Millisecond
 )
 
 // callerHandler serves callers' requests.
 type callerHandler struct {
 	runner   *runner
 	headers  Headers
+	conns    *callerConns
 	log      *log.Logger
 	metrics  *hostMetrics
 	draining atomic.Bool
@@ -63,6 +70,11 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	began := h.runner.now()
+	x := h.newExchange(w, r)
+	defer x.end()
+	if !h.conns.enter(x.account, intake.Serving) {
+		return // the connection was closed to make room
+	}
 	if g != nil {
 		began = began.Add(-g.elapsed)
 		w.Header().Set(headerHandoverResult, handover.Final.String())
@@ -81,17 +93,20 @@
 	switch {
 	case isRefused:
 		w.Header().Set(headerHandoverResult, result.String())
-		out = h.respondRefused(w, 0, "not taken from another host: "+result.String())
+		x.discardBody()
+		out = h.respondRefused(x, 0, "not taken from another host: "+result.String())
 	case config == nil:
-		out = h.respondRefused(w, noConfigRetryAfter, "no configuration is known")
+		x.discardBody()
+		out = h.respondRefused(x, noConfigRetryAfter, "no configuration is known")
 	default:
 		target := originForm(r.RequestURI)
 		path, _, _ := strings.Cut(target, "?")
 		if rt = config.Match(r.Host, path); rt == nil {
-			out = h.respondText(w, http.StatusNotFound, "no route matches")
+			x.discardBody()
+			out = h.respondText(x, http.StatusNotFound, "no route matches")
 			break
 		}
-		out = h.forward(w, r, rt, config, target, began, g)
+		out = h.forward(x, r, rt, config, target, began, g)
 	}
 	out.guest = g
 	h.recordRequest(r, rt, config, out, h.runner.now().Sub(began))
@@ -116,25 +131,21 @@
 	return "/"
 }
 
-func (h *callerHandler) forward(w http.ResponseWriter, r *http.Request, rt *route.Route, c *route.Config, target string, began time.Time, g *guest) outcome {
-	body, err := readBody(w, r, c.Limits.BodyBytes)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return h.respondText(w, http.StatusRequestEntityTooLarge, "the body is too large")
-	case err != nil:
-		w.Header().Set("Connection", "close")
-		return h.respondText(w, http.StatusBadRequest, "the body did not arrive: "+err.Error())
+func (h *callerHandler) forward(w *exchange, r *http.Request, rt *route.Route, c *route.Config, target string, began time.Time, g *guest) outcome {
+	callerTimeout := rt.Timeout
+	if ms, err := strconv.ParseFloat(r.Header.Get(h.headers.DeadlineMs), 64); err == nil {
+		callerTimeout = time.Duration(ms * float64(time.Millisecond))
+	}
+	deadline := began.Add(min(callerTimeout, rt.Timeout))
+	body, err := w.readBody(c.Limits.BodyBytes, deadline)
+	if err != nil {
+		return h.respondBodyFault(w, err)
 	}
 	q := &callerRequest{
-		id: r.Header.Get(h.headers.RequestID), method: r.Method, route: rt, callerTimeout: rt.Timeout, arrivedAt: began, configVersion: c.Version, guest: g,
+		id: r.Header.Get(h.headers.RequestID), method: r.Method, route: rt, callerTimeout: callerTimeout, deadline: deadline, hold: w.holding.hold, arrivedAt: began, configVersion: c.Version, guest: g,
 		fingerprint: hashRequest(r, target, body),
 		head:        encodeHead(r, target, h.headers), body: body, hasBody: r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
 	}
-	if ms, err := strconv.ParseFloat(r.Header.Get(h.headers.DeadlineMs), 64); err == nil {
-		q.callerTimeout = time.Duration(ms * float64(time.Millisecond))
-	}
-	q.deadline = began.Add(min(q.callerTimeout, rt.Timeout))
 	if !q.deadline.After(h.runner.now()) {
 		return h.respondRefused(w, 0, "the deadline has passed")
 	}
@@ -150,24 +161,31 @@
 	return out
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	// Without Expect, the body is read up to the limit before the request is
-	// rejected: a caller that is still sending might not see the response.
-	if r.ContentLength > limit && r.Header.Get("Expect") != "" {
-		return nil, &http.MaxBytesError{Limit: limit}
+// respondBodyFault answers a request whose body was not read; it has not run.
+func (h *callerHandler) respondBodyFault(w *exchange, err error) outcome {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		w.discardBody()
+		return h.respondText(w, http.StatusRequestEntityTooLarge, "the body is too large")
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	w.Header().Set("Connection", "close")
+	w.discardBody()
+	switch {
+	case errors.Is(err, errEvicted):
+		return outcome{reason: err.Error()}
+	case errors.Is(err, membuf.ErrNoMemory):
+		h.metrics.bodiesRefused.Inc()
+		return h.respondRefused(w, noMemoryRetryAfter, err.Error())
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return h.respondText(w, http.StatusRequestTimeout, "the body did not arrive before the deadline")
+	}
+	return h.respondText(w, http.StatusBadRequest, "the body did not arrive: "+err.Error())
 }
 
 // respond writes the response to a finished request.
-func (h *callerHandler) respond(w http.ResponseWriter, f forward.Finish) outcome {
+func (h *callerHandler) respond(w *exchange, f forward.Finish) outcome {
 	var out outcome
+	w.releaseBody()
 	switch f.Verdict {
 	case forward.PassThrough:
 		out = h.respondPassed(w, f.Answer.(*http1.Response))
@@ -190,7 +208,7 @@
 // respondPassed passes on a backend server's response unchanged. A status that
 // promises that the request has not run becomes 502, as the server did not
 // confirm it: confirmed ones never get here.
-func (h *callerHandler) respondPassed(w http.ResponseWriter, a *http1.Response) outcome {
+func (h *callerHandler) respondPassed(w *exchange, a *http1.Response) outcome {
 	for _, s := range notRunStatuses {
 		if a.Status == s {
 			return h.respondText(w, http.StatusBadGateway, fmt.Sprintf("the server answered %d and may have run the request", s))
@@ -203,7 +221,8 @@
 }
 
 // writeResponse writes a response without the headers that leaveOut selects.
-func writeResponse(w http.ResponseWriter, a *http1.Response, leaveOut func(name string) bool) {
+func writeResponse(w *exchange, a *http1.Response, leaveOut func(name string) bool) {
+	w.beginAnswer()
 	header := w.Header()
 	for _, name := range endToEndHeaders(a.Header) {
 		if !leaveOut(name) {
@@ -229,7 +248,8 @@
 	}
 }
 
-func (h *callerHandler) respondMerged(w http.ResponseWriter, f forward.Finish) outcome {
+func (h *callerHandler) respondMerged(w *exchange, f forward.Finish) outcome {
+	w.beginAnswer()
 	header := w.Header()
 	header.Set(h.headers.Signatures, strings.Join(f.Signatures, ", "))
 	if f.Missing > 0 {
@@ -243,7 +263,7 @@
 }
 
 // respondRefused rejects a request that has not run.
-func (h *callerHandler) respondRefused(w http.ResponseWriter, after time.Duration, reason string) outcome {
+func (h *callerHandler) respondRefused(w *exchange, after time.Duration, reason string) outcome {
 	setRetryAfter(w, after)
 	return h.respondText(w, http.StatusServiceUnavailable, reason)
 }
@@ -254,7 +274,8 @@
 	}
 }
 
-func (h *callerHandler) respondText(w http.ResponseWriter, status int, reason string) outcome {
+func (h *callerHandler) respondText(w *exchange, status int, reason string) outcome {
+	w.beginAnswer()
 	header := w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(reason)+1))
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -160,8 +160,9 @@
 	r := newRunner(clock.Now, s, testHeaders, balancer, engine, metrics, logger)
 	r.start()
 	t.Cleanup(r.shutdown)
-	g := &testGateway{callerHandler: &callerHandler{runner: r, headers: testHeaders, log: logger, metrics: metrics}}
-	c, err := listenCallers("127.0.0.1:0", g.callerHandler, logger)
+	conns := newCallerConns(intakeOptions(s, 4096), clock.Now, metrics, logger)
+	g := &testGateway{callerHandler: &callerHandler{runner: r, headers: testHeaders, conns: conns, log: logger, metrics: metrics}}
+	c, err := listenCallers("127.0.0.1:0", g.callerHandler, conns, logger)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -82,7 +82,10 @@
 func (h *callerHandler) serveGuest(w http.ResponseWriter, r *http.Request) {
 	g := readGuest(r.Header)
 	if g == nil {
-		h.respondText(w, http.StatusBadRequest, "the headers of the handover are invalid")
+		x := h.newExchange(w, r)
+		defer x.end()
+		x.discardBody()
+		h.respondText(x, http.StatusBadRequest, "the headers of the handover are invalid")
 		return
 	}
 	h.serve(w, r, g)
@@ -131,7 +134,7 @@
 	defer r.goroutines.Done()
 	response, outcome, err := r.peerPool.Do(ctx, http1.Call{
 		Endpoint: http1.Endpoint{Address: net.JoinHostPort(x.Address, r.handoverPort)}, Method: q.method, RequestID: q.id,
-		Deadline: q.deadline, NonIdempotent: !q.route.Idempotent, IdleTimeout: handoverIdleTimeout,
+		Deadline: q.deadline, NonIdempotent: !q.route.Idempotent, IdleTimeout: handoverIdleTimeout, Hold: q.hold,
 		Encode: func(time.Duration) []byte {
 			return q.encodeHandover(r.headers, r.address, q.configVersion, x.PriorCalls, r.now())
 		},
@@ -203,7 +206,7 @@
 }
 
 // respondRelayed passes on the final answer of the host that had the request.
-func (h *callerHandler) respondRelayed(w http.ResponseWriter, a *http1.Response) outcome {
+func (h *callerHandler) respondRelayed(w *exchange, a *http1.Response) outcome {
 	writeResponse(w, a, func(name string) bool { return slices.Contains(handoverHeaders, name) })
 	return outcome{status: a.Status}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -40,6 +40,8 @@
 	body []byte
 	// hasBody is true if the caller declared a body, even an empty one.
 	hasBody bool
+	// hold reserves the memory of an answer of a size in bytes.
+	hold func(size int) bool
 }
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
--- a/gateway/runner.go
+++ b/gateway/runner.go
@@ -257,7 +257,7 @@
 	defer r.goroutines.Done()
 	began := r.now()
 	response, outcome, err := r.pool.Do(ctx, http1.Call{
-		Endpoint: endpointOf(s.Target.Server), Method: q.method, RequestID: q.id, Deadline: s.Deadline, MaxBodyBytes: q.maxBodyBytes(), NonIdempotent: s.NonIdempotent, IdleTimeout: s.Target.IdleTimeout(),
+		Endpoint: endpointOf(s.Target.Server), Method: q.method, RequestID: q.id, Deadline: s.Deadline, MaxBodyBytes: q.maxBodyBytes(), NonIdempotent: s.NonIdempotent, IdleTimeout: s.Target.IdleTimeout(), Hold: q.hold,
 		Encode: func(left time.Duration) []byte { return q.encode(r.headers, s.Target.ID, left) },
 		Guard:  func() bool { return r.canSend(s.Target) },
 	})
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -40,8 +40,10 @@
 	// CPUCapacity is the host's processing power as a multiple of one core's;
 	// fractions are common.
 	CPUCapacity float64
-	// MemoryBytes is the host's memory.
+	// MemoryBytes is the host's memory, MaxSockets how many sockets the process may
+	// have open; 0 means that only the operating system limits them.
 	MemoryBytes int64
+	MaxSockets  int
 	// Grace is the time from the stop signal until the process is killed.
 	Grace time.Duration
 	// ApplyWithin bounds the delay until a published change takes effect.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -58,7 +58,8 @@
 	for _, s := range g.servers {
 		_ = s.Close()
 	}
-	g.log.Info("host stopped", "requests_cut", g.handler.active.Load(), "after_ms", time.Since(began).Milliseconds())
+	_, most, _ := g.handler.conns.counts()
+	g.log.Info("host stopped", "requests_cut", g.handler.active.Load(), "after_ms", time.Since(began).Milliseconds(), "most_caller_connections", most)
 	return nil
 }
 
--- a/http1/bounds.go
+++ b/http1/bounds.go
@@ -1,8 +1,10 @@
 package http1
 
 import (
-	"errors"
 	"io"
+	"net/http"
+
+	"github.com/figmast/figmast/internal/membuf"
 )
 
 const (
@@ -20,18 +22,11 @@
 	// towards the pool's limit: several times the largest responses in known
 	// deployments.
 	unreservedBodyBytes = 32 << 10
-	// initialBodyBytes is the initial size of a body's buffer; most parts fit.
-	initialBodyBytes = 1 << 10
 	// defaultMaxBufferedBytes bounds the memory for responses being read.
 	defaultMaxBufferedBytes = 32 << 20
 )
 
-var (
-	errTooLarge    = errors.New("the answer is too large")
-	errBufferLimit = errors.New("too much is held of answers that are being read")
-)
-
-// limitedReader reads at most left bytes and then fails with errTooLarge.
+// limitedReader reads at most left bytes and then fails with membuf.ErrTooLarge.
 type limitedReader struct {
 	source io.Reader
 	left   int64
@@ -40,55 +35,57 @@
 // Read implements io.Reader.
 func (l *limitedReader) Read(b []byte) (int, error) {
 	if l.left <= 0 {
-		return 0, errTooLarge
+		return 0, membuf.ErrTooLarge
 	}
 	n, err := l.source.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
 	return n, err
 }
 
-// reserve reserves memory for a response that is being read, and reports
-// whether there was enough.
-func (p *Pool) reserve(n int64) bool {
-	if p.bufferedBytes.Add(n) <= p.opts.MaxBufferedBytes {
+// bufferAccount accounts for the buffers of responses that are being read.
+type bufferAccount struct{ *Pool }
+
+// Reserve implements membuf.Account.
+func (a bufferAccount) Reserve(n int64) bool {
+	if a.bufferedBytes.Add(n) <= a.opts.MaxBufferedBytes {
 		return true
 	}
-	p.bufferedBytes.Add(-n)
+	a.bufferedBytes.Add(-n)
 	return false
 }
 
-// readBody reads a body of at most maxBytes bytes.
-func (p *Pool) readBody(r io.Reader, maxBytes int) ([]byte, error) {
-	var reserved int64
-	defer func() { p.bufferedBytes.Add(-reserved) }()
-	b := make([]byte, 0, initialBodyBytes)
-	for {
-		if len(b) == cap(b) {
-			// The old buffer and the new one, of twice its size, are held while the
-			// bytes are copied.
-			newCap := 2 * int64(cap(b))
-			if newCap > unreservedBodyBytes {
-				if !p.reserve(newCap) {
-					return nil, errBufferLimit
-				}
-				reserved += newCap
-			}
-			grown := append(make([]byte, 0, newCap), b...)
-			if oldCap := int64(cap(b)); oldCap > unreservedBodyBytes {
-				p.bufferedBytes.Add(-oldCap)
-				reserved -= oldCap
-			}
-			b = grown
-		}
-		n, err := r.Read(b[len(b):cap(b)])
-		b = b[:len(b)+n]
-		switch {
-		case len(b) > maxBytes:
-			return nil, errTooLarge
-		case err == io.EOF:
-			return b, nil
-		case err != nil:
-			return nil, err
+// Release implements membuf.Account.
+func (a bufferAccount) Release(n int64) { a.bufferedBytes.Add(-n) }
+
+// readHeldBody reads a response's body after it has reserved the memory that the call
+// holds for it, or afterwards if the server declares no length.
+func (p *Pool) readHeldBody(resp *http.Response, call Call, maxBytes int) ([]byte, error) {
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0 // a response to HEAD declares a length without a body
+	}
+	if length > int64(maxBytes) {
+		return nil, membuf.ErrTooLarge
+	}
+	isHeld := call.Hold == nil
+	if !isHeld && length > 0 {
+		if !call.Hold(int(length)) {
+			return nil, membuf.ErrNoMemory
 		}
+		isHeld = true
+	}
+	b, err := p.readBody(resp.Body, length, maxBytes)
+	if err == nil && !isHeld && !call.Hold(len(b)) {
+		return nil, membuf.ErrNoMemory
 	}
+	return b, err
+}
+
+// readBody reads a body of at most maxBytes bytes. length is the one that is declared,
+// or -1.
+func (p *Pool) readBody(r io.Reader, length int64, maxBytes int) ([]byte, error) {
+	account := bufferAccount{p}
+	b, reserved, err := membuf.ReadAll(r, membuf.Options{MaxBytes: maxBytes, Length: length, FreeBytes: unreservedBodyBytes, Account: account})
+	account.Release(reserved)
+	return b, err
 }
--- a/http1/call.go
+++ b/http1/call.go
@@ -40,6 +40,9 @@
 	// NonIdempotent calls must not run twice, so they never use a kept-alive
 	// connection that the server may be closing.
 	NonIdempotent bool
+	// Hold, if set, reserves the memory of the response's body of a size in bytes. If
+	// it returns false, the call fails.
+	Hold func(size int) bool
 	// Guard, if set, is called right before the first byte is written. If it
 	// returns false, the call is not sent.
 	Guard func() bool
--- a/http1/response.go
+++ b/http1/response.go
@@ -51,7 +51,7 @@
 			return nil, false, err
 		}
 		c.limitedReader.left = maxFramingFactor * int64(maxBytes+1)
-		body, err := p.readBody(resp.Body, maxBytes)
+		body, err := p.readHeldBody(resp, call, maxBytes)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -14,7 +14,7 @@
 )
 
 // purePackages lists the packages with decision logic.
-var purePackages = []string{"command", "control", "crash", "decision", "document", "forward", "handover", "leafcall", "news", "policy", "query", "route", "view"}
+var purePackages = []string{"command", "control", "crash", "decision", "document", "forward", "handover", "intake", "leafcall", "news", "policy", "query", "route", "view"}
 
 // forbiddenImports lists import paths that these packages may not use.
 var forbiddenImports = []string{
