http1: a status that HTTP does not have is no answer

What callers saw: an answer with status 000 was skipped like an interim one, and bytes after it were taken for the answer; one with 600 or above was passed on.

Cause: readFinalHead asked only whether a status was below 200.

Change: statuses outside 100 to 599, and 101, break the call and close the connection.

--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -106,6 +106,8 @@
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "status000"):
+			fmt.Fprintf(c, "HTTP/1.1 000 Odd\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nbody")
 		case strings.Contains(target, "fails"):
 			fmt.Fprintf(c, "HTTP/1.1 500 Oops\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\noops")
 		default:
@@ -365,6 +367,29 @@
 	is.True(resp.Header.Get("Retry-After") != "")
 }
 
+// TestInvalidStatusIsNeverPassedOn guards against an answer with a status that HTTP
+// does not have, or the bytes after it, reaching a caller: directly, as a part of a
+// merged answer, or through another host.
+func TestInvalidStatusIsNeverPassedOn(t *testing.T) {
+	for name, tt := range map[string]struct {
+		host func(*testing.T) *testGateway
+		path string
+	}{
+		"plain":        {func(t *testing.T) *testGateway { return newTestGateway(t, newBackend(t)) }, "/p/status000"},
+		"merged":       {func(t *testing.T) *testGateway { return newTestGateway(t, newBackend(t)) }, "/all/status000"},
+		"other host":   {func(t *testing.T) *testGateway { return newHostPair(t, 2).isolated }, "/p/status000"},
+		"merged there": {func(t *testing.T) *testGateway { return newHostPair(t, 2).isolated }, "/all/status000"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp, _ := tt.host(t).send(t, "GET "+tt.path+get+"\r\n")
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
+			is.Equal(resp.Header.Get("X-Sign"), "")
+			is.Equal(resp.Header.Get("X-Signs"), "")
+		})
+	}
+}
+
 // TestLogLines: log lines beyond the queue's length or the rate limit are
 // counted and dropped, and a write never blocks.
 func TestLogLines(t *testing.T) {
--- a/http1/response.go
+++ b/http1/response.go
@@ -29,6 +29,8 @@
 	maxInterimResponses = 8
 	// maxMismatchedResponses bounds the skipped responses to other requests.
 	maxMismatchedResponses = 2
+	// maxStatus is the highest status code of HTTP.
+	maxStatus = 599
 )
 
 var (
@@ -76,12 +78,12 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch code := resp.StatusCode; {
+		case code < http.StatusContinue, code > maxStatus, code == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("unexpected status %03d", code)
+		case code >= http.StatusOK:
 			return resp, nil
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, fmt.Errorf("unexpected status %d", resp.StatusCode)
-		}
 	}
 	return nil, errTooManyInterim
 }
