--- a/abuse/abuse_test.go
+++ b/abuse/abuse_test.go
@@ -66,28 +66,30 @@
 	address string
 	headers gateway.Headers
 	log     *bytes.Buffer
+	store   *standin.Store
+	config  *route.Config
 }
 
 func startProcess(t *testing.T) *process {
 	t.Helper()
 	is := is.New(t)
 	p := &process{t: t, exited: make(chan struct{}), headers: platform.Headers(), log: &bytes.Buffer{}}
-	store := standin.NewStore()
-	c := &route.Config{
+	p.store = standin.NewStore()
+	p.config = &route.Config{
 		Version: 1, Services: map[string]route.Service{"s": {Name: "s", MaxConnections: 100}},
 		Routes: []route.Route{{
 			Name: "r", Host: hostName, Prefix: "/", Service: "s", Idempotent: true, MaxAttempts: 2, Timeout: 15 * time.Second, Objective: time.Second,
 		}},
 		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: bodyBytes, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
-	store.PutConfig(c)
+	p.store.PutConfig(p.config)
 	for i := range 3 {
 		v := route.Server{ID: fmt.Sprintf("i-%d", i), Service: "s", DataCentre: "a", Slots: 8, StartUnixMs: time.Now().UnixMilli(), Address: p.serveBackend()}
-		store.PutServer(v)
+		p.store.PutServer(v)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	server := &http.Server{Handler: store, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: p.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }() // it returns when the test closes the server
 	t.Cleanup(func() { _ = server.Close() })
 
@@ -124,13 +126,17 @@
 	return ports
 }
 
-// serveBackend starts a backend server, which answers each request with 1,000 bytes
-// or with as many as the path ends in, and returns its address.
+// serveBackend starts a backend server, which answers each request with 1,000 bytes,
+// with as many as the path ends in, or without end, and returns its address.
 func (p *process) serveBackend() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(p.t).NoErr(err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		if name, ok := strings.CutPrefix(r.URL.Path, endlessPath); ok {
+			writeEndless(w, endless[name])
+			return
+		}
 		size := 1000
 		if n, err := strconv.Atoi(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]); err == nil {
 			size = n
@@ -145,6 +151,7 @@
 	return l.Addr().String()
 }
 
+// waitUntilServed waits until an ordinary request is answered.
 func (p *process) waitUntilServed() {
 	p.t.Helper()
 	for end := time.Now().Add(answerTimeout); ; time.Sleep(50 * time.Millisecond) {
@@ -159,14 +166,18 @@
 
 // request sends an ordinary request and returns the status of its complete answer.
 func (p *process) request(method string, body int) (int, error) {
+	return p.requestPath(method, "/ordinary", body)
+}
+
+func (p *process) requestPath(method, path string, body int) (int, error) {
 	c, err := net.DialTimeout("tcp", p.address, answerTimeout)
 	if err != nil {
 		return 0, err
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(answerTimeout))
-	if _, err := fmt.Fprintf(c, "%s /ordinary HTTP/1.1\r\nHost: %s\r\n%s: o\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n%s",
-		method, hostName, p.headers.RequestID, p.headers.DeadlineMs, body, strings.Repeat("b", body)); err != nil {
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: o\r\n%s: 15000\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, hostName, p.headers.RequestID, p.headers.DeadlineMs, body, strings.Repeat("b", body)); err != nil {
 		return 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
