gateway: no success reaches a caller that no backend server gave

What callers saw: one that closes its sending side and still reads got 200, empty and without a signature; an answer without a signature was passed on with 200 on routes without gather.

Cause: the handler wrote nothing when its caller had gone away, and net/http answers 200 for it; any answer below 500 counted as a backend server's.

Change: a request that is not answered ends its connection. A success without a signature is a broken call.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -51,6 +51,7 @@
 
 // outcome is how a request ended, for its log line.
 type outcome struct {
+	// status is 0 if nothing was answered.
 	status int
 	reason string
 	finish forward.Finish
@@ -73,7 +74,7 @@
 	x := h.newExchange(w, r)
 	defer x.end()
 	if !h.conns.enter(x.account, intake.Serving) {
-		return // the connection was closed to make room
+		panic(http.ErrAbortHandler) // the connection was closed to make room
 	}
 	if g != nil {
 		began = began.Add(-g.elapsed)
@@ -110,6 +111,10 @@
 	}
 	out.guest = g
 	h.recordRequest(r, rt, config, out, h.runner.now().Sub(began))
+	if out.status == 0 {
+		// Otherwise net/http answers 200 to a caller that still reads.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // originForm strips the scheme and the host from a request target in absolute
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -106,6 +106,8 @@
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n")
+		case strings.Contains(target, "unsigned"):
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!")
 		case strings.Contains(target, "status000"):
 			fmt.Fprintf(c, "HTTP/1.1 000 Odd\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nbody")
 		case strings.Contains(target, "fails"):
@@ -390,6 +392,50 @@
 	}
 }
 
+// TestUnsignedSuccessIsNotPassedOn guards against a success that no backend server
+// gave, but a program at the address of an odd entry.
+func TestUnsignedSuccessIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/p/unsigned", "/all/unsigned"} {
+		for name, host := range map[string]func(*testing.T) *testGateway{
+			"direct":     func(t *testing.T) *testGateway { return newTestGateway(t, newBackend(t)) },
+			"other host": func(t *testing.T) *testGateway { return newHostPair(t, 2).isolated },
+		} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				is := is.New(t)
+				resp, body := host(t).send(t, "GET "+path+get+"\r\n")
+				is.Equal(resp.StatusCode, http.StatusBadGateway)
+				is.True(!strings.Contains(body, "It works!"))
+			})
+		}
+	}
+}
+
+// TestHalfClosedCallerGetsNoSuccess guards against an answer that no backend server
+// gave to a caller that closes its sending side and still reads.
+func TestHalfClosedCallerGetsNoSuccess(t *testing.T) {
+	b := newBackend(t)
+	g := newTestGateway(t, b)
+	for name, request := range map[string]string{
+		"request in progress": "GET /p/slow" + strings.Replace(get, "400", "5000", 1) + "\r\n",
+		"merged":              "GET /all/slow" + strings.Replace(get, "400", "5000", 1) + "\r\n",
+		"unfinished body":     "POST /p/1" + get + "Content-Length: 9\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", g.address)
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+			_, err = io.WriteString(c, request)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			is.NoErr(c.(*net.TCPConn).CloseWrite())
+			answer, _ := io.ReadAll(c)
+			is.True(!strings.HasPrefix(string(answer), "HTTP/1.1 2"))
+		})
+	}
+}
+
 // TestLogLines: log lines beyond the queue's length or the rate limit are
 // counted and dropped, and a write never blocks.
 func TestLogLines(t *testing.T) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -223,16 +223,19 @@
 }
 
 // classifyResponse determines from a response whether the request ran and
-// whether it succeeded.
+// whether it succeeded. A success without a signature is not a backend server's.
 func (r *runner) classifyResponse(a *http1.Response) forward.Reply {
 	refused := a.Header.Get(r.headers.NotRun) != "" && slices.Contains(notRunStatuses, a.Status)
 	if refused || a.Status == http.StatusMisdirectedRequest {
 		return forward.Reply{Outcome: forward.NotRun, Status: a.Status, Misdirected: a.Status == http.StatusMisdirectedRequest, Detail: "not run, status " + strconv.Itoa(a.Status)}
 	}
 	signature := a.Header.Get(r.headers.Signature)
-	ok := a.Status >= 200 && a.Status < 300 && signature != ""
+	isSuccess := a.Status >= 200 && a.Status < 300
+	if isSuccess && signature == "" {
+		return forward.Reply{Outcome: forward.Broken, Detail: "a success without a signature"}
+	}
 	return forward.Reply{
-		Outcome: forward.Answered, Status: a.Status, OK: ok, Signature: signature, Body: a.Body, Answer: a,
+		Outcome: forward.Answered, Status: a.Status, OK: isSuccess, Signature: signature, Body: a.Body, Answer: a,
 		Detail: "status " + strconv.Itoa(a.Status),
 	}
 }
