http1, forward: a response without an ID proves nothing on a kept connection

What callers saw: a second copy of a rejection was taken for the answer to the next request on the connection; a request that must run only once ran twice, or was refused as not run although it had.

Cause: a response was passed over only if it named another request, and rejections name none.

Change: a response without an ID is believed on a connection that has carried nothing else. On another one a rejection leaves open whether the request has run, anything else is a broken call, and the connection is closed. Requests that must run only once open a connection each, in place of a kept one.

--- a/forward/engine_test.go
+++ b/forward/engine_test.go
@@ -167,6 +167,25 @@
 	w.is.Equal(w.finished[id].Verdict, Failed) // the first call may have run
 }
 
+// TestUnidentifiedRejectionProvesNothing guards against a rejection that may belong
+// to another request being taken for a promise that this one has not run.
+func TestUnidentifiedRejectionProvesNothing(t *testing.T) {
+	w := newHarness(t, "s")
+	id := w.start(singleRoute(false))
+	w.reply(w.sends[0], Reply{Outcome: NotRun, Unidentified: true})
+	w.is.Equal(len(w.sends), 1) // it may have run
+	w.is.Equal(w.finished[id].Verdict, Failed)
+
+	id = w.start(singleRoute(true))
+	w.reply(w.sends[1], Reply{Outcome: NotRun, Unidentified: true})
+	w.is.Equal(len(w.sends), 3)
+	w.reply(w.sends[2], Reply{Outcome: NotRun})
+	for i := 3; i < len(w.sends); i++ {
+		w.reply(w.sends[i], Reply{Outcome: NotRun})
+	}
+	w.is.Equal(w.finished[id].Verdict, Failed) // the first call may have run
+}
+
 func TestMaxAttemptsBoundsServersThatMayRun(t *testing.T) {
 	w := newHarness(t, "s")
 	id := w.start(singleRoute(true))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -62,6 +62,9 @@
 // Reply is the result of a call to a backend server.
 type Reply struct {
 	Outcome Outcome
+	// Unidentified is set if the response may be one to another request: a server that
+	// states that it did not run the request may have run this one.
+	Unidentified bool
 	// Status is the response's HTTP status. OK is set for a success.
 	Status int
 	OK     bool
--- a/forward/part.go
+++ b/forward/part.go
@@ -141,7 +141,7 @@
 func (p *part) handleReply(now time.Time, c *call, reply Reply) {
 	p.removeCall(c)
 	r := p.run
-	if reply.Outcome == NotRun || reply.Outcome == NotSent {
+	if reply.Outcome == NotRun && !reply.Unidentified || reply.Outcome == NotSent {
 		r.mayHaveRun--
 		p.mayHaveRun--
 	}
--- a/gateway/handler_test.go
+++ b/gateway/handler_test.go
@@ -78,6 +78,9 @@
 		b.heads, b.bodies = append(b.heads, head), append(b.bodies, string(body))
 		b.mu.Unlock()
 		target := strings.Fields(head)[1]
+		_, rest, _ := strings.Cut(head, "X-Id: ")
+		id, _, _ := strings.Cut(rest, "\r\n")
+		signed := "X-Sign: s\r\nX-Id: " + id + "\r\n" // servers echo the request's ID
 		switch {
 		case strings.Contains(target, "slow"):
 			if _, err := r.Peek(1); err != nil {
@@ -95,25 +98,25 @@
 			return
 		case strings.Contains(target, "takes"):
 			time.Sleep(takesTime)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\ndone")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+"Content-Length: 4\r\n\r\ndone")
 		case strings.Contains(target, "leaves"):
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Leaves: 1\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+"X-Leaves: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "limit"):
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Limit: 0.5\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+"X-Limit: 0.5\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "alone"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 1.5\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "busy"):
 			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		case strings.Contains(target, "ran503"):
-			fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, "HTTP/1.1 503 Busy\r\n"+signed+"Content-Length: 0\r\n\r\n")
 		case strings.Contains(target, "unsigned"):
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nIt works!")
 		case strings.Contains(target, "status000"):
-			fmt.Fprintf(c, "HTTP/1.1 000 Odd\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\nbody")
+			io.WriteString(c, "HTTP/1.1 000 Odd\r\nX-Sign: s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"+signed+"Content-Length: 4\r\n\r\nbody")
 		case strings.Contains(target, "fails"):
-			fmt.Fprintf(c, "HTTP/1.1 500 Oops\r\nX-Sign: s\r\nContent-Length: 4\r\n\r\noops")
+			io.WriteString(c, "HTTP/1.1 500 Oops\r\n"+signed+"Content-Length: 4\r\n\r\noops")
 		default:
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Sign: s\r\nX-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 16\r\n\r\n<html>0123456789")
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signed+"X-Own: 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 16\r\n\r\n<html>0123456789")
 		}
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -156,7 +156,10 @@
 
 func (r *runner) replyFromResponse(a *http1.Response) forward.Reply {
 	reply := r.classifyResponse(a)
-	reply.Connected = a.Connected
+	reply.Connected, reply.Unidentified = a.Connected, a.Unidentified
+	if a.Unidentified && reply.Outcome == forward.Answered {
+		return forward.Reply{Outcome: forward.Broken, Detail: "status " + strconv.Itoa(a.Status) + " without the request's ID"}
+	}
 	if a.Status == http.StatusServiceUnavailable {
 		var fault string
 		if reply.Backoff, fault = parseRetryAfter(a.Header); reply.Backoff > 0 {
--- a/http1/call.go
+++ b/http1/call.go
@@ -37,8 +37,8 @@
 	IdleTimeout time.Duration
 	// MaxBodyBytes bounds the response's body; 0 means 8 MB.
 	MaxBodyBytes int
-	// NonIdempotent calls must not run twice, so they never use a kept-alive
-	// connection that the server may be closing.
+	// NonIdempotent calls must not run twice, so each opens a connection: the server
+	// may be closing a kept one, and bytes that belong to no request may come on it.
 	NonIdempotent bool
 	// Hold, if set, reserves the memory of the response's body of a size in bytes. If
 	// it returns false, the call fails.
@@ -61,11 +61,11 @@
 
 // Do makes the call once, without retries.
 func (p *Pool) Do(ctx context.Context, call Call) (*Response, Outcome, error) {
-	maxIdle := defaultIdleTimeout
-	if call.NonIdempotent {
-		maxIdle = maxFreshIdle
+	c := p.takeIdle(call.Endpoint, defaultIdleTimeout)
+	if c != nil && call.NonIdempotent {
+		p.close(c) // the number of connections to the server stays
+		c = nil
 	}
-	c := p.takeIdle(call.Endpoint, maxIdle)
 	connected := c == nil
 	if connected {
 		var err error
@@ -111,6 +111,7 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	c.idleTimeout = min(keepAliveTimeout(response.Header, defaultIdleTimeout), call.IdleTimeout)
+	c.hasCarried = true
 	p.putIdle(c)
 	return response, Done, nil
 }
--- a/http1/duplicate_test.go
+++ b/http1/duplicate_test.go
@@ -70,3 +70,64 @@
 		})
 	}
 }
+
+// TestResponseWithoutIDProvesNothingOnKeptConnection guards against a late copy of a
+// rejection, which names no request, being taken for the answer to the next request
+// on the connection.
+func TestResponseWithoutIDProvesNothingOnKeptConnection(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, tt := range map[string]struct {
+		nonIdempotent bool
+		status        int
+		unidentified  bool
+		connections   int
+	}{
+		"may be repeated":     {false, http.StatusServiceUnavailable, true, 1},
+		"may not be repeated": {true, http.StatusOK, false, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			connections := make(chan int, 8)
+			endpoint := serve(t, func(number int, c *net.TCPConn) {
+				defer c.Close()
+				connections <- number
+				r := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					text := response(req.Header.Get("X-Id"), "ran")
+					if number == 0 && i < 2 {
+						text = rejection // the second one is a copy of the first
+					}
+					if _, err := c.Write([]byte(text)); err != nil {
+						return
+					}
+				}
+			})
+			p := newPool()
+			call := func(id string) (*Response, Outcome, error) {
+				return p.Do(t.Context(), Call{
+					Endpoint: endpoint, Method: http.MethodGet, RequestID: id, Deadline: time.Now().Add(5 * time.Second), IdleTimeout: time.Second, NonIdempotent: tt.nonIdempotent,
+					Encode: func(time.Duration) []byte {
+						return fmt.Appendf(nil, "GET / HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\n\r\n", id)
+					},
+				})
+			}
+			a, outcome, err := call("1")
+			is.NoErr(err)
+			is.Equal(outcome, Done)
+			is.True(!a.Unidentified) // nothing else can have come on a new connection
+			a, outcome, err = call("2")
+			is.NoErr(err)
+			is.Equal(outcome, Done)
+			is.Equal(a.Status, tt.status)
+			is.Equal(a.Unidentified, tt.unidentified)
+			is.Equal(len(connections), tt.connections)
+			if tt.unidentified {
+				is.Equal(p.OpenConns(), 0) // the connection is not used again
+			}
+		})
+	}
+}
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -34,9 +34,6 @@
 	// defaultIdleTimeout is how long an idle connection is kept if the server
 	// announces no timeout.
 	defaultIdleTimeout = 10 * time.Second
-	// maxFreshIdle is how long a connection may have been idle for a call that
-	// must not run twice.
-	maxFreshIdle = 250 * time.Millisecond
 	// A connection is given up when keepAliveProbes probes have not been answered,
 	// the first of which is sent after keepAliveInterval without a packet.
 	keepAliveInterval = time.Second
@@ -74,6 +71,8 @@
 	r             *bufio.Reader
 	lastUsed      time.Time
 	idleTimeout   time.Duration
+	// hasCarried is set once the connection has carried a call.
+	hasCarried bool
 }
 
 // NewPool returns a Pool without connections.
--- a/http1/response.go
+++ b/http1/response.go
@@ -21,6 +21,10 @@
 	Body   []byte
 	// Connected is set if a new connection was opened for the call.
 	Connected bool
+	// Unidentified is set if nothing shows that the response belongs to the call: it
+	// does not name the request, and another one may have preceded it on the
+	// connection.
+	Unidentified bool
 }
 
 const (
@@ -46,6 +50,7 @@
 	if maxBytes == 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	hasSkipped := false
 	for range maxMismatchedResponses + 1 {
 		c.limitedReader.left = maxHeadBytes
 		resp, err := readFinalHead(c.r, call.Method)
@@ -57,16 +62,19 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if echoed := resp.Header.Get(p.opts.RequestIDHeader); echoed != "" && call.RequestID != "" && echoed != call.RequestID {
+		echoed := resp.Header.Get(p.opts.RequestIDHeader)
+		if echoed != "" && call.RequestID != "" && echoed != call.RequestID {
 			if resp.Close {
 				return nil, false, errMismatch
 			}
+			hasSkipped = true
 			continue
 		}
 		if coding := resp.Header.Get("Content-Encoding"); coding != "" && coding != "identity" {
 			return nil, false, errContentEncoding
 		}
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, !resp.Close, nil
+		unidentified := echoed == "" && (c.hasCarried || hasSkipped)
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, Unidentified: unidentified}, !resp.Close && !unidentified, nil
 	}
 	return nil, false, errMismatch
 }
