policy: a server's back-off holds for as long as it asks

What callers saw: nothing; a server that had asked a host for 90 s got 665 requests from it after 60 s.

Cause: a back-off was cut to a minute.

--- a/policy/leaving.go
+++ b/policy/leaving.go
@@ -11,9 +11,9 @@
 	// server gets its last request: opening a connection takes up to 250 ms, and
 	// the queues of this host and its network link about as long.
 	leavingMargin = 500 * time.Millisecond
-	// MaxServerBackoff bounds how long a server can ask a host to back off: it
-	// cannot predict its load for longer.
-	MaxServerBackoff = time.Minute
+	// MaxServerBackoff bounds how long a server can ask a host to back off. An
+	// incarnation of a server hardly lives for longer.
+	MaxServerBackoff = 24 * time.Hour
 	// maxNotices bounds the stored notices of incarnations that are not
 	// published now; it exceeds the number of servers expected in two years.
 	maxNotices = 4096
--- a/policy/leaving_test.go
+++ b/policy/leaving_test.go
@@ -137,7 +137,7 @@
 	b.RecordBackoff(now, target(0), time.Second) // the longer time holds
 	b.RecordBackoff(now, target(1), 2*time.Second)
 	is.Equal(b.BackoffLeft(now, "s"), time.Duration(0))
-	b.RecordBackoff(now, target(2), time.Hour)
+	b.RecordBackoff(now, target(2), 48*time.Hour)
 	is.Equal(target(2).notice.backoffUntil, now.Add(MaxServerBackoff))
 	is.Equal(b.BackoffLeft(now, "s"), 2*time.Second)
 	_, why := b.Choose(now, ChooseInfo{Service: "s"})
