gateway: hold the ports of addresses that refuse connections in tests

Cause: tests closed a listener to get an address that refuses connections; another process could take the port.

Change: a socket is bound to the port and does not listen.

--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -29,8 +29,6 @@
 func newHostPair(t *testing.T, helperVersion int64) *hostPair {
 	t.Helper()
 	is := is.New(t)
-	dead := newBackend(t)
-	dead.closeListener()
 	l, err := net.Listen("tcp", "127.0.0.2:0")
 	is.NoErr(err)
 	port := l.Addr().(*net.TCPAddr).Port
@@ -41,7 +39,7 @@
 	server := p.helper.handoverServer()
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
-	p.isolated.applyRoutes(2, dead.address)
+	p.isolated.applyRoutes(2, refusingAddress(t))
 	p.helper.applyRoutes(helperVersion, b.address)
 	return p
 }
@@ -131,10 +129,8 @@
 		}
 	}()
 	t.Cleanup(func() { _ = l.Close() })
-	dead := newBackend(t)
-	dead.closeListener()
 	g := newTestHost(t, nil, Settings{Address: "127.0.0.1", DataCentre: "a", HandoverPort: l.Addr().(*net.TCPAddr).Port, MemoryBytes: 1 << 28})
-	g.applyRoutes(1, dead.address)
+	g.applyRoutes(1, refusingAddress(t))
 	resp, _ := g.send(t, "POST /p/a"+get+"Content-Length: 0\r\n\r\n")
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
@@ -187,19 +183,32 @@
 	}
 }
 
-// silentAddress returns a loopback address at which connection attempts get no
-// answer: the queue of new connections is full.
-func silentAddress(t *testing.T) string {
+// boundSocket returns a socket that is bound to a loopback address, and the address.
+func boundSocket(t *testing.T) (fd int, address string) {
 	t.Helper()
 	is := is.New(t)
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	is.NoErr(err)
 	t.Cleanup(func() { _ = unix.Close(fd) })
 	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	is.NoErr(unix.Listen(fd, 0))
 	bound, err := unix.Getsockname(fd)
 	is.NoErr(err)
-	address := fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+	return fd, fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)
+}
+
+// refusingAddress returns a loopback address that refuses connections. Its port stays
+// taken, so that no other process can listen there.
+func refusingAddress(t *testing.T) string {
+	_, address := boundSocket(t)
+	return address
+}
+
+// silentAddress returns a loopback address at which connection attempts get no
+// answer: the queue of new connections is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	fd, address := boundSocket(t)
+	is.New(t).NoErr(unix.Listen(fd, 0))
 	for {
 		c, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
 		if err != nil {
@@ -215,11 +224,7 @@
 	const servers = 4
 	for name, address := range map[string]func(*testing.T) string{
 		"silent": silentAddress,
-		"refuse": func(t *testing.T) string {
-			b := newBackend(t)
-			b.closeListener()
-			return b.address
-		},
+		"refuse": refusingAddress,
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
