client: a refused deadline is not sent again a little shorter

What callers saw: a refusal and a second request for each call whose time left was a little shorter than that of the refused one.

Cause: the client sent a deadline again as soon as it was shorter than the refused one by a millisecond; the time left differs that much between calls with the same timeout.

Change: a deadline that is shorter by less than a tenth is taken to be refused too.

--- a/client.go
+++ b/client.go
@@ -186,14 +186,19 @@
 	ticketsVerb = "tickets"
 )
 
+// deadlineTolerance is the part of a refused deadline by which a later one may be
+// shorter and is taken to be refused too: the time left differs a little between
+// requests with the same timeout, and shrinks from attempt to attempt.
+const deadlineTolerance = 10
+
 // call makes one attempt at one host, with the remaining time as the deadline. If
 // the service refuses the deadline as too long, call sends the request again without
 // one, so that the operation's default applies. It remembers the refused deadline
-// and sends none for later requests with at least as much time.
+// and sends none for later requests with about as much time or more.
 func (c *Client) call(ctx context.Context, host, service, verb string, body, answer any) *Problem {
 	remaining := remainingMs(ctx)
 	key := service + "/" + verb
-	if refused, ok := c.refusedDeadlines.Load(key); ok && remaining >= refused.(int64) {
+	if refused, ok := c.refusedDeadlines.Load(key); ok && remaining >= refused.(int64)-refused.(int64)/deadlineTolerance {
 		return c.post(ctx, host, service, verb, body, answer, 0)
 	}
 	p := c.post(ctx, host, service, verb, body, answer, remaining)
--- a/client_test.go
+++ b/client_test.go
@@ -229,6 +229,23 @@
 	is.Equal(h.refusals, 1) // the client remembers the refused deadline
 }
 
+// TestRefusedDeadlineIsNotSentAgainALittleShorter: the time left differs a little
+// between requests with the same timeout. A much shorter one is sent.
+func TestRefusedDeadlineIsNotSentAgainALittleShorter(t *testing.T) {
+	is := is.New(t)
+	h := newFakeHosts(t, 1, func(int, int) *figmast.Problem { return nil })
+	h.maxDeadlineMs = 1000
+	c := h.client(t)
+	for _, timeout := range []time.Duration{5 * time.Second, 4900 * time.Millisecond, 6 * time.Second} {
+		_, p := book(t, c, timeout)
+		is.True(p == nil)
+	}
+	is.Equal(h.refusals, 1)
+	_, p := book(t, c, 3*time.Second)
+	is.True(p == nil)
+	is.Equal(h.refusals, 2)
+}
+
 func TestNoHostReachable(t *testing.T) {
 	is := is.New(t)
 	h := newFakeHosts(t, 1, nil)
