--- a/api/api.go
+++ b/api/api.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,6 +43,9 @@
 	// BodyTimeout limits the time in which a caller sends a body; 0 means
 	// DefaultBodyTimeout.
 	BodyTimeout time.Duration
+	// BodyMemory limits the bytes of all bodies that are held; 0 means
+	// DefaultBodyMemory.
+	BodyMemory int64
 	// WriteTimeout limits the time in which a caller reads an answer; 0 means
 	// DefaultWriteTimeout.
 	WriteTimeout time.Duration
@@ -51,7 +55,11 @@
 	Metrics *metrics.Set
 }
 
-type server struct{ Options }
+type server struct {
+	Options
+	// bodyBytes is how many bytes of bodies are held.
+	bodyBytes atomic.Int64
+}
 
 // NewHandler returns the handler for requests of callers.
 func NewHandler(opts Options) http.Handler {
@@ -61,7 +69,11 @@
 	if opts.WriteTimeout == 0 {
 		opts.WriteTimeout = DefaultWriteTimeout
 	}
-	s := &server{opts}
+	if opts.BodyMemory == 0 {
+		opts.BodyMemory = DefaultBodyMemory
+	}
+	s := &server{Options: opts}
+	opts.Metrics.NewGauge("figmast_body_bytes_held", func() float64 { return float64(s.bodyBytes.Load()) })
 	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/services/{service}/query", s.query).Methods(http.MethodPost)
 	r.HandleFunc("/v1/services/{service}/tickets", s.ticket).Methods(http.MethodPost)
@@ -88,7 +100,9 @@
 				s.answerPanic(w, r, cause)
 			}
 		}()
-		next.ServeHTTP(w, r)
+		account := &bodyAccount{server: s}
+		defer func() { account.Release(account.reserved) }()
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), accountKey{}, account)))
 	})
 }
 
--- a/api/api_test.go
+++ b/api/api_test.go
@@ -54,6 +54,10 @@
 const bodyTimeout = 200 * time.Millisecond
 
 func newHandler(b Runner, draining bool) http.Handler {
+	return newHandlerWithMemory(b, draining, DefaultBodyMemory)
+}
+
+func newHandlerWithMemory(b Runner, draining bool, bodyMemory int64) http.Handler {
 	op := func(name string, kind document.Kind) document.Operation {
 		return document.Operation{
 			Name: name, Kind: kind, Urgency: figmast.Normal, Worth: 2,
@@ -65,10 +69,36 @@
 	}}}}
 	return NewHandler(Options{
 		Host: "h", Runner: b, View: func() *view.View { return v }, Clock: func() time.Time { return started },
-		Draining: func() bool { return draining }, BodyTimeout: bodyTimeout, WriteTimeout: bodyTimeout, Log: log.New(io.Discard), Metrics: metrics.NewSet(),
+		Draining: func() bool { return draining }, BodyTimeout: bodyTimeout, WriteTimeout: bodyTimeout, BodyMemory: bodyMemory,
+		Log: log.New(io.Discard), Metrics: metrics.NewSet(),
 	})
 }
 
+// TestBodiesAreBounded guards against bodies that are not finished, each within its
+// own limit, taking the memory of the process.
+func TestBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := newHandlerWithMemory(&fakeRunner{}, false, 128<<10) // two of the bodies do not fit
+	payload := strings.Repeat("x", 60<<10)
+	text := `{"operation":"status","payload":"` + payload + `"}`
+	unfinished, rest := io.Pipe()
+	r := httptest.NewRequest("POST", queryPath, unfinished)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		h.ServeHTTP(httptest.NewRecorder(), r)
+	}()
+	_, err := io.WriteString(rest, text)
+	is.NoErr(err)
+	w := send(h, "POST", queryPath, nil, text)
+	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.True(w.Header().Get("Retry-After") != "")
+	is.Equal(send(h, "POST", queryPath, nil, `{"operation":"status"}`).Code, http.StatusOK)
+	is.NoErr(rest.Close())
+	<-answered
+	is.Equal(send(h, "POST", queryPath, nil, text).Code, http.StatusOK)
+}
+
 // send handles one request and returns the recorded response.
 func send(h http.Handler, method, path string, header map[string]string, body string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
--- a/api/decode.go
+++ b/api/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +18,7 @@
 
 	figmast "github.com/figmast/figmast"
 	"github.com/figmast/figmast/document"
+	"github.com/figmast/figmast/internal/membuf"
 )
 
 // Limits on requests of callers.
@@ -28,6 +30,10 @@
 	maxWorth        = 1e9
 	// DefaultBodyTimeout limits the time in which a caller sends a body.
 	DefaultBodyTimeout = 5 * time.Second
+	// DefaultBodyMemory limits the bytes of all bodies that are held, beyond
+	// freeBodyBytes of each.
+	DefaultBodyMemory = 64 << 20
+	freeBodyBytes     = 4 << 10
 	// DefaultWriteTimeout limits the time in which a caller reads an answer.
 	DefaultWriteTimeout = 10 * time.Second
 )
@@ -49,15 +55,43 @@
 }
 
 // readBody reads the whole body. Then it removes the read deadline that middleware
-// has set, because the request's context would end when the deadline passes.
+// has set, because the request's context would end when the deadline passes. What is
+// reserved for the body is released by middleware.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	account := accountOf(r.Context())
+	b, reserved, err := membuf.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes), membuf.Options{
+		MaxBytes: MaxBodyBytes, Length: r.ContentLength, FreeBytes: freeBodyBytes, Account: account,
+	})
+	account.reserved = reserved
 	if err == nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	return b, err
 }
 
+// bodyAccount accounts for the body of one request.
+type bodyAccount struct {
+	*server
+	reserved int64
+}
+
+// Reserve implements membuf.Account.
+func (a *bodyAccount) Reserve(n int64) bool {
+	if a.bodyBytes.Add(n) <= a.BodyMemory {
+		return true
+	}
+	a.bodyBytes.Add(-n)
+	return false
+}
+
+// Release implements membuf.Account.
+func (a *bodyAccount) Release(n int64) { a.bodyBytes.Add(-n) }
+
+type accountKey struct{}
+
+// accountOf returns the account that middleware has made for the request.
+func accountOf(ctx context.Context) *bodyAccount { return ctx.Value(accountKey{}).(*bodyAccount) }
+
 // decode decodes one JSON object. It rejects unknown and repeated fields.
 func decode(b []byte, body any) *figmast.Problem {
 	if p := checkKeys(b); p != nil {
@@ -114,6 +148,8 @@
 		return withStatus(badRequest("body", fmt.Sprintf("larger than %d bytes", tooLarge.Limit)), http.StatusRequestEntityTooLarge)
 	case errors.As(err, &wrongType) && wrongType.Field != "":
 		return badRequest(wrongType.Field, "a "+wrongType.Value+" where a "+wrongType.Type.String()+" belongs")
+	case errors.Is(err, membuf.ErrNoMemory):
+		return unavailable("too much memory is held by other bodies", "decode")
 	case isTimeout(err):
 		return withStatus(badRequest("body", "not complete in time"), http.StatusRequestTimeout)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
--- a/daemon/host.go
+++ b/daemon/host.go
@@ -102,7 +102,7 @@
 	h.peers.control, h.peers.events = h.control, events
 	h.callers = h.newServer(api.NewHandler(api.Options{
 		Host: s.Host, Runner: h.runner, View: h.control.View, Clock: clock.Now,
-		Draining: h.draining.Load, Log: logger, Metrics: metricSet,
+		Draining: h.draining.Load, BodyMemory: s.BodyMemoryMB << 20, Log: logger, Metrics: metricSet,
 	}))
 	o := &ops{
 		settings: s, view: h.control.View, events: events, draining: &h.draining,
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -26,6 +26,7 @@
 	ShareLag       time.Duration `arg:"--share-lag,env:FIGMAST_SHARE_LAG" default:"3s" help:"how long hosts may differ on the list of hosts; connections are taken over after twice that"`
 	DrainWait      time.Duration `arg:"--drain-wait,env:FIGMAST_DRAIN_WAIT" default:"5s" help:"how long to stay open while the balancer takes this host out"`
 	DrainLimit     time.Duration `arg:"--drain-limit,env:FIGMAST_DRAIN_LIMIT" default:"30s" help:"how long running requests may take to finish"`
+	BodyMemoryMB   int64         `arg:"--body-memory-mb,env:FIGMAST_BODY_MEMORY_MB" default:"64" help:"megabytes that the bodies of all requests may take"`
 	TicketLifetime time.Duration `arg:"--ticket-lifetime,env:FIGMAST_TICKET_LIFETIME" default:"10m" help:"how long a ticket may be used"`
 	LogLevel       string        `arg:"--log-level,env:FIGMAST_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
@@ -61,6 +62,9 @@
 		c.add("--drain-wait: %v is negative", s.DrainWait)
 	}
 	c.positive("--drain-limit", s.DrainLimit)
+	if s.BodyMemoryMB <= 0 {
+		c.add("--body-memory-mb: %d is not above 0", s.BodyMemoryMB)
+	}
 	c.positive("--ticket-lifetime", s.TicketLifetime)
 	if _, err := parseLevel(s.LogLevel); err != nil {
 		c.errs = append(c.errs, err)
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -24,7 +24,7 @@
 	return Settings{
 		Host: "h", DataCentre: "dc", CallerListen: "127.0.0.1:1", OpsListen: "127.0.0.1:2", PeerListen: "127.0.0.1:3",
 		Platform: "127.0.0.1:4", Certificate: pair.CertPEM, Key: pair.KeyPEM, Authorities: a.PEM,
-		DrainWait: time.Second, DrainLimit: time.Second, TicketLifetime: time.Minute, LogLevel: "info",
+		DrainWait: time.Second, DrainLimit: time.Second, BodyMemoryMB: 64, TicketLifetime: time.Minute, LogLevel: "info",
 	}
 }
 
@@ -45,6 +45,7 @@
 		{"port 0 for peers", func(s *Settings) { s.PeerListen = "127.0.0.1:0" }, "--peer-listen: peers need"},
 		{"same address twice", func(s *Settings) { s.OpsListen = s.CallerListen }, "--ops-listen: the same as --caller-listen"},
 		{"drain wait", func(s *Settings) { s.DrainWait = -1 }, "--drain-wait:"},
+		{"body memory", func(s *Settings) { s.BodyMemoryMB = 0 }, "--body-memory-mb:"},
 		{"drain limit", func(s *Settings) { s.DrainLimit = 0 }, "--drain-limit:"},
 		{"ticket lifetime", func(s *Settings) { s.TicketLifetime = 0 }, "--ticket-lifetime:"},
 		{"log level", func(s *Settings) { s.LogLevel = "loud" }, "--log-level:"},
@@ -69,7 +70,7 @@
 	is.True(err != nil)
 	for _, flag := range []string{
 		"--host", "--data-centre", "--caller-listen", "--ops-listen", "--peer-listen", "--platform",
-		"--drain-limit", "--ticket-lifetime", "--log-level", "certificate", "key", "authorities",
+		"--drain-limit", "--body-memory-mb", "--ticket-lifetime", "--log-level", "certificate", "key", "authorities",
 	} {
 		if !strings.Contains(err.Error(), flag) {
 			t.Errorf("%s is missing in\n%v", flag, err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -150,7 +150,7 @@
 	s := daemon.Settings{
 		Host: id, DataCentre: f.opts.Shape.DataCentres[i%len(f.opts.Shape.DataCentres)],
 		Platform: f.platformAddress, Certificate: pair.CertPEM, Key: pair.KeyPEM, Authorities: f.authority.PEM,
-		DrainWait: 50 * time.Millisecond, DrainLimit: 10 * time.Second, TicketLifetime: 10 * time.Minute, LogLevel: "info",
+		DrainWait: 50 * time.Millisecond, DrainLimit: 10 * time.Second, BodyMemoryMB: 64, TicketLifetime: 10 * time.Minute, LogLevel: "info",
 	}
 	for _, address := range []*string{&s.CallerListen, &s.OpsListen, &s.PeerListen} {
 		if *address, err = FreeAddress(loopback); err != nil {
