gateway: a test reads the fake server's requests under its lock

Cause: the race detector found it reading them while the server still served a connection; the code before has it too.

Measured: go test -race on the package's tests of hosts, stops and bodies passes twice.

--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -107,6 +107,8 @@
 			p := newHostPair(t, 2)
 			resp, _ := p.isolated.send(t, "GET "+path+get+"\r\n")
 			is.Equal(resp.StatusCode, status)
+			p.backend.mu.Lock()
+			defer p.backend.mu.Unlock()
 			is.True(len(p.backend.heads) <= 1)
 		})
 	}
